--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+SEED ?= 1
+MINUTES ?= 5
+
+.PHONY: test demo lint binary bench slopes fuzz docs docs-check clean
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m tests.run
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+demo: $(STAMP)
+	$(BIN)/python -m demo.demo
+
+binary: $(STAMP)
+	$(BIN)/shiv -q -c foxtailsaddle -o dist/foxtailsaddle -p '/usr/bin/env python3' -- --quiet -c constraints.txt .
+
+bench: $(STAMP)
+	$(BIN)/python -m bench --plan bench/plans/mixed.yaml
+
+slopes: $(STAMP)
+	$(BIN)/python -m bench.slopes
+
+fuzz: $(STAMP)
+	$(BIN)/python -m tests.fuzz --seed $(SEED) --minutes $(MINUTES)
+
+docs: $(STAMP)
+	$(BIN)/python -m docs.generate
+
+docs-check: $(STAMP)
+	$(BIN)/python -m docs.generate --check
+
+clean:
+	rm -rf $(VENV) build dist demo/run
--- /dev/null
+++ b/demo/demo.py
@@ -0,0 +1,119 @@
+"""Starts a small fleet, sends prompts of very unlike lengths, prints a table."""
+
+import os
+import pathlib
+import sys
+import time
+
+import trio
+
+from standins.caller import Caller, Seen
+from standins.engine_model import expected_answer
+from standins.fleet import CALLER_KEY, OPERATOR_KEY, Fleet
+
+LENGTHS_TOKENS = (1_000, 30_000, 300_000)
+OUTPUT_TOKENS = 24
+BYTES_PER_TOKEN = 4
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def text_of(tokens: int) -> str:
+    """Return text of about ``tokens`` tokens, built from the project's pages."""
+    pages = sorted([*ROOT.glob("*.md"), *ROOT.glob("docs/*.md")])
+    text = "\n".join(page.read_text(encoding="utf-8") for page in pages)
+    text = text.encode("ascii", "ignore").decode()
+    size = tokens * BYTES_PER_TOKEN
+    return (text * (size // len(text) + 1))[:size]
+
+
+async def send_all(fleet: Fleet) -> list[tuple[str, Seen, str]]:
+    """Send the prompts and the sign-off at the same time."""
+    caller = Caller()
+    rows: list[tuple[str, Seen, str]] = []
+    urls = [fleet.by_name[name].url for name in fleet.instance_ports]
+
+    async def prompt(number: int, tokens: int) -> None:
+        url = urls[number % len(urls)]
+        text = text_of(tokens)
+        seen = await caller.complete(url, text, OUTPUT_TOKENS, allowed_s=120)
+        if seen.code == "ok" and seen.text != expected_answer(text, OUTPUT_TOKENS):
+            seen.code = "wrong answer"
+        rows.append((f"{tokens:,} tokens", seen, await _endpoint_of(fleet, seen)))
+
+    async def sign_off() -> None:
+        body = b'{"ride": "carousel 7", "verdict": "pass"}'
+        seen = await caller.call(urls[0], "sign-offs", body, key="demo-sign-off")
+        rows.append(("1 sign-off", seen, await _endpoint_of(fleet, seen)))
+
+    async with trio.open_nursery() as nursery:
+        for number, tokens in enumerate(LENGTHS_TOKENS):
+            nursery.start_soon(prompt, number, tokens)
+        nursery.start_soon(sign_off)
+    await caller.aclose()
+    return rows
+
+
+async def _endpoint_of(fleet: Fleet, seen: Seen) -> str:
+    """Ask the instance which endpoint served a request."""
+    import json
+    import urllib.request
+
+    instance = seen.request_id.partition("~")[0]
+    if instance not in fleet.instance_ports:
+        return "-"
+    request = urllib.request.Request(
+        f"{fleet.operator_url(instance)}/requests/{seen.request_id}",
+        headers={"authorization": f"Bearer {OPERATOR_KEY}"},
+    )
+    with urllib.request.urlopen(request, timeout=5) as response:
+        steps = json.load(response)["steps"]
+    routed = [step["reason"] for step in steps if step["decision"] == "routed"]
+    return routed[-1].split('"')[1] if routed else "-"
+
+
+def print_table(rows: list[tuple[str, Seen, str]]) -> None:
+    """Print one line a request."""
+    print(f"{'request':>16} {'first token':>12} {'total':>8}  endpoint  verdict  end")
+    for label, seen, endpoint in sorted(rows, key=lambda row: row[1].total_s):
+        first = f"{seen.first_s:.2f} s" if seen.first_s else "-"
+        print(
+            f"{label:>16} {first:>12} {seen.total_s:6.2f} s  {endpoint:8}  "
+            f"{seen.verdict:7}  {seen.code}"
+        )
+
+
+def print_curl(fleet: Fleet) -> None:
+    """Print lines to try by hand."""
+    callers, operators, _ = fleet.instance_ports["i1"]
+    print("\nThe fleet goes on serving; press Ctrl+C to end it. Try:")
+    print(
+        f"curl -N http://127.0.0.1:{callers}/v1/completions "
+        f"-H 'Authorization: Bearer {CALLER_KEY}' "
+        '-d \'{"model": "drafts", "prompt": "hello", "stream": true}\''
+    )
+    print(
+        f"curl http://127.0.0.1:{callers}/v1/services/register/sign-offs "
+        f"-H 'Authorization: Bearer {CALLER_KEY}' -H 'Idempotency-Key: k1' "
+        "-d '{\"ride\": 7}'"
+    )
+    print(
+        f"curl http://127.0.0.1:{operators}/endpoints "
+        f"-H 'Authorization: Bearer {OPERATOR_KEY}'"
+    )
+
+
+def main() -> int:
+    """Run the demo; 0 when every request ended in a whole answer."""
+    binary = os.environ.get("FOXTAILSADDLE", f"{sys.executable} -m foxtailsaddle")
+    with Fleet(ROOT / "demo" / "run", binary=binary.split()) as fleet:
+        time.sleep(1)
+        rows = trio.run(send_all, fleet)
+        print_table(rows)
+        if os.environ.get("KEEP"):
+            print_curl(fleet)
+            trio.run(trio.sleep_forever)
+    return 0 if all(seen.code == "ok" for _, seen, _ in rows) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/foxtailsaddle/__init__.py
@@ -0,0 +1,6 @@
+"""foxtailsaddle: a serving layer for prompts of very unlike lengths."""
+
+from .verdicts import Verdict
+
+__version__ = "0.1.0"
+__all__ = ["Verdict", "__version__"]
--- /dev/null
+++ b/src/foxtailsaddle/adapters/_clock.py
@@ -0,0 +1,17 @@
+"""The clock port over trio and the system's clock."""
+
+import time
+
+import trio
+
+
+class SystemClock:
+    """Monotonic time from trio, wall-clock time from the system."""
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return trio.current_time()
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since 1970."""
+        return int(time.time() * 1000)
--- /dev/null
+++ b/src/foxtailsaddle/adapters/_endpoints_http.py
@@ -0,0 +1,202 @@
+"""Ports to model engines and plain services, over HTTP and SSE."""
+
+import contextlib
+import json
+import typing as t
+
+import sseclient
+
+from ..core import AttemptId, Verdict
+from ..errors import EndpointFailedError, ExchangeBrokenError
+from ..ports import (
+    AttemptState,
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    LoadReport,
+    ModelJob,
+    PlainAnswer,
+    PlainCall,
+    TokenEvent,
+)
+
+QUERY_S = 1.0
+EVENT_END = b"\n\n"
+DONE = "[DONE]"
+ATTEMPT_HEADER = "x-request-id"
+STATE_HEADER = "x-endpoint-state"
+REFUSED_HEADER = "x-not-run"
+
+
+class HttpModelEndpoints:
+    """Speaks to engines with the completions convention of model servers."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self, url: str, attempt: AttemptId, job: ModelJob, stall_s: float
+    ) -> t.AsyncIterator[t.AsyncIterator[TokenEvent]]:
+        """Run or resume an attempt and hand out its tokens."""
+        request = HttpRequest(
+            "POST",
+            f"{url}/v1/chat/completions" if job.messages else f"{url}/v1/completions",
+            headers={
+                "content-type": "application/json",
+                ATTEMPT_HEADER: str(attempt),
+            },
+            body=_job_body(job, attempt),
+            idle_s=stall_s,
+        )
+        async with self._client.exchange(request) as response:
+            if response.status != 200:
+                raise _refusal(url, response.status, response.headers)
+            yield _tokens(response, str(attempt), url)
+
+    async def state(self, url: str, attempt: AttemptId) -> AttemptState:
+        """Ask over a new connection what became of an attempt."""
+        request = HttpRequest(
+            "GET",
+            f"{url}/v1/attempts/{attempt}",
+            connect_s=QUERY_S,
+            idle_s=QUERY_S,
+            fresh=True,
+        )
+        async with self._client.exchange(request) as response:
+            body = await response.read()
+        if response.status == 404:
+            return AttemptState.UNKNOWN
+        return AttemptState(_json(body, url)["state"])
+
+    async def cancel(self, url: str, attempt: str) -> None:
+        """Cancel an attempt and free its memory."""
+        request = HttpRequest(
+            "POST",
+            f"{url}/v1/attempts/{attempt}/cancel",
+            connect_s=QUERY_S,
+            idle_s=QUERY_S,
+            fresh=True,
+        )
+        async with self._client.exchange(request) as response:
+            await response.read()
+
+    async def load(self, url: str) -> LoadReport:
+        """Return the engine's report."""
+        request = HttpRequest("GET", f"{url}/load", connect_s=QUERY_S, idle_s=QUERY_S)
+        async with self._client.exchange(request) as response:
+            body = await response.read()
+        data = _json(body, url)
+        return LoadReport(
+            incarnation=data["incarnation"],
+            leaving=data["leaving"],
+            remaining_by_attempt=data["remaining_by_attempt"],
+            held_tokens=data["held_tokens"],
+            age_s=data["age_s"],
+        )
+
+
+class HttpPlainEndpoints:
+    """Speaks to plain services."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def call(self, url: str, call: PlainCall, idle_s: float) -> PlainAnswer:
+        """Make one call and return the whole answer."""
+        request = HttpRequest(
+            call.method,
+            f"{url}/{call.path}",
+            headers={
+                "content-type": call.content_type,
+                ATTEMPT_HEADER: str(call.attempt),
+            },
+            body=call.body,
+            idle_s=idle_s,
+            fresh=call.fresh,
+        )
+        async with self._client.exchange(request) as response:
+            body = await response.read()
+        return PlainAnswer(
+            status=response.status,
+            content_type=response.headers.get("content-type", ""),
+            body=body,
+            verdict=_verdict_of(response.headers),
+        )
+
+    async def health(self, url: str) -> tuple[str, bool]:
+        """Return the endpoint's incarnation and whether it is leaving."""
+        request = HttpRequest(
+            "GET", f"{url}/healthz", connect_s=QUERY_S, idle_s=QUERY_S
+        )
+        async with self._client.exchange(request) as response:
+            data = _json(await response.read(), url)
+        return data["incarnation"], data["leaving"]
+
+
+def _job_body(job: ModelJob, attempt: AttemptId) -> bytes:
+    content = {"messages": job.messages} if job.messages else {"prompt": job.prompt}
+    return json.dumps(
+        {
+            **job.options,
+            **content,
+            "model": job.model,
+            "max_tokens": job.max_tokens,
+            "stream": True,
+            "priority": job.priority,
+            "cache_salt": job.salt,
+            "resume_from": job.resume_from,
+            "resume_text": job.resume_text,
+            "deadline_ms": attempt.deadline_ms,
+        }
+    ).encode()
+
+
+def _verdict_of(headers: t.Mapping[str, str]) -> Verdict:
+    return Verdict.NOT_RUN if REFUSED_HEADER in headers else Verdict.RAN
+
+
+def _refusal(
+    url: str, status: int, headers: t.Mapping[str, str]
+) -> EndpointFailedError:
+    """Return the error for an answer that is not a stream.
+
+    Only the endpoint's own word, in a header, proves that nothing ran.
+    """
+    refused = REFUSED_HEADER in headers
+    verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
+    return EndpointFailedError(
+        f'endpoint at "{url}" answered {status}', verdict=verdict
+    )
+
+
+async def _tokens(
+    response: HttpResponse, attempt: str, url: str
+) -> t.AsyncIterator[TokenEvent]:
+    """Iterate over the tokens of this attempt; drop those of any other."""
+    async for data in _events(response):
+        if data == DONE:
+            return
+        chunk = _json(data, url)
+        if chunk["id"] != attempt:
+            continue
+        choice = chunk["choices"][0]
+        text = choice["delta"]["content"] if "delta" in choice else choice["text"]
+        yield TokenEvent(chunk["offset"], text, choice["finish_reason"])
+    raise ExchangeBrokenError(f'stream of "{url}" ended before its terminal event')
+
+
+async def _events(response: HttpResponse) -> t.AsyncIterator[str]:
+    pending = b""
+    async for chunk in response.chunks():
+        *blocks, pending = (pending + chunk).split(EVENT_END)
+        for block in blocks:
+            for event in sseclient.SSEClient(iter([block + EVENT_END])).events():
+                yield event.data
+
+
+def _json(data: bytes | str, url: str) -> t.Any:
+    try:
+        return json.loads(data)
+    except ValueError as error:
+        raise ExchangeBrokenError(f'endpoint at "{url}" answered no JSON') from error
--- /dev/null
+++ b/src/foxtailsaddle/adapters/_settings_yaml.py
@@ -0,0 +1,32 @@
+"""Reads settings from YAML files."""
+
+import pathlib
+import typing as t
+
+import yaml
+
+from ..core import SettingsFile, read_model
+from ..errors import SettingsError
+
+
+def read_yaml(path: str) -> t.Any:
+    """Return the data of a YAML file.
+
+    :raises SettingsError: the file is missing or is no YAML.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    try:
+        return yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def read_settings_file(path: str) -> SettingsFile:
+    """Return the validated settings of one file.
+
+    :raises SettingsError: names the file, the path in it and the reason.
+    """
+    return read_model(SettingsFile, read_yaml(path), path)
--- /dev/null
+++ b/src/foxtailsaddle/adapters/_telemetry.py
@@ -0,0 +1,103 @@
+"""Metrics, traces and logs."""
+
+import logging
+import sys
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SimpleSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from pythonjsonlogger.json import JsonFormatter
+
+TTFT_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 1.3, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0)
+LENGTH_CLASSES = ((8_000, "to_8k"), (32_000, "to_32k"), (100_000, "to_100k"))
+LONGEST_CLASS = "over_100k"
+
+
+def length_class(tokens: int) -> str:
+    """Return the label of a prompt's length class."""
+    for bound, label in LENGTH_CLASSES:
+        if tokens <= bound:
+            return label
+    return LONGEST_CLASS
+
+
+class Metrics:
+    """All metrics of one instance."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self.requests = Counter("requests_total", "Requests by outcome code.")
+        self.attempts = Counter("attempts_total", "Attempts by endpoint and result.")
+        self.ttft = Histogram(
+            "time_to_first_token_seconds",
+            "Time to first token by prompt length.",
+            buckets=list(TTFT_BUCKETS_S),
+        )
+        self.in_flight = Gauge("requests_in_flight", "Requests being served.")
+        self.revision = Gauge("settings_revision", "Revision of settings in force.")
+        self.peers = Gauge("live_instances", "Live instances, this one included.")
+        self.orphans = Counter("orphans_cancelled_total", "Orphans cancelled.")
+        for metric in vars(self).copy().values():
+            if metric is not self._registry:
+                self._registry.register(metric)
+
+    def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics page and its headers."""
+        return render(self._registry, accept)
+
+
+class LogSpanExporter(SpanExporter):
+    """Writes each finished span as one JSON log line."""
+
+    _logger = logging.getLogger("foxtailsaddle.trace")
+
+    def export(self, spans: list[ReadableSpan]) -> SpanExportResult:
+        """Write the spans."""
+        for span in spans:
+            self._logger.info(
+                "trace: span ended",
+                extra={
+                    "span": span.name,
+                    "trace_id": f"{span.context.trace_id:032x}",
+                    "ms": round((span.end_time - span.start_time) / 1e6, 1),
+                    **dict(span.attributes or {}),
+                },
+            )
+        return SpanExportResult.SUCCESS
+
+
+def new_tracer(instance: str, otlp_url: str | None) -> trace.Tracer:
+    """Return a tracer that exports to ``otlp_url``, or else to the log."""
+    provider = TracerProvider(resource=Resource({"service.instance.id": instance}))
+    if otlp_url is None:
+        provider.add_span_processor(SimpleSpanProcessor(LogSpanExporter()))
+    else:
+        # Imported late: it brings requests and protobuf, which cost memory.
+        from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
+            OTLPSpanExporter,
+        )
+
+        exporter = OTLPSpanExporter(endpoint=otlp_url)
+        provider.add_span_processor(BatchSpanProcessor(exporter))
+    return provider.get_tracer("foxtailsaddle")
+
+
+def set_up_logging(level: str, instance: str) -> None:
+    """Write JSON log lines to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            "%(asctime)s %(levelname)s %(message)s",
+            static_fields={"instance": instance},
+        )
+    )
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+    logging.getLogger("httpcore").setLevel("WARNING")
+    logging.getLogger("hypercorn").setLevel("WARNING")
--- /dev/null
+++ b/src/foxtailsaddle/app/_application.py
@@ -0,0 +1,248 @@
+"""The application object: builds the parts and runs their life cycle."""
+
+import logging
+import typing as t
+
+import hypercorn.config
+import hypercorn.trio
+import trio
+
+from ..core import Liveness, Member, Members, MemberState
+from ..errors import AddressInUseError
+from ._attempts import AttemptRunner
+from ._environment import Environment
+from ._gateway import Gateway
+from ._guards import CrashWatch, LimitGuard
+from ._journal import Journal
+from ._ledger_keeper import LedgerKeeper
+from ._operator_web import OperatorWeb
+from ._peering import Peering
+from ._plain_gateway import PlainGateway
+from ._router import Router
+from ._settings_keeper import SettingsKeeper
+from ._trip import TripDesk
+from ._watcher import EndpointWatcher
+from ._web import CallerWeb
+
+logger = logging.getLogger("foxtailsaddle.app")
+
+SUSPECT_HEARTBEATS = 6
+CLOSE_LEDGER_S = 10.0
+KEEP_ALIVE_S = 75.0
+FIRST_SETTINGS_PAUSE_S = 0.2
+
+
+class Application:
+    """One entry instance.
+
+    Its life cycle is ``start``, ``drain``, ``stop``; ``run`` goes through all
+    of them.
+
+    :param first_tree: settings to insert as revision 1 into an empty platform.
+    """
+
+    def __init__(self, env: Environment, first_tree: dict[str, t.Any]) -> None:
+        self.env = env
+        self._first_tree = first_tree
+        self._draining = trio.Event()
+        self._closing = trio.Event()
+        suspect_s = SUSPECT_HEARTBEATS * env.settings.heartbeat_s
+        self.members = Members(_own_member(env), suspect_s)
+        self.liveness = Liveness(env.settings.leave_bound_s)
+        self.keeper = SettingsKeeper(env, self.members)
+        self.router = Router(env, self.keeper, self.members, self.liveness)
+        self.limits = LimitGuard(env, self.members)
+        self.crashes = CrashWatch(env, self.members)
+        self.journal = Journal()
+        self.desk = TripDesk(env, self.journal)
+        self.watcher = EndpointWatcher(
+            env, self.keeper, self.members, self.liveness, self.router
+        )
+        self.peering = Peering(
+            env,
+            self.members,
+            self.keeper,
+            self.liveness,
+            self.router,
+            self.limits,
+            self.crashes,
+        )
+        self.ledger: LedgerKeeper | None = None
+        self.gateway: Gateway | None = None
+        self.web: CallerWeb | None = None
+        self.operator_web: OperatorWeb | None = None
+
+    async def run(self) -> None:
+        """Serve until ``drain`` was called and everything in flight has ended."""
+        async with trio.open_nursery() as background:
+            await self.start(background)
+            async with trio.open_nursery() as servers:
+                servers.start_soon(self._serve_operators)
+                await self._serve_callers()
+                servers.cancel_scope.cancel()
+            await self.stop()
+            background.cancel_scope.cancel()
+
+    async def start(self, background: trio.Nursery) -> None:
+        """Build the request path and start the control tasks."""
+        self._build(background)
+        background.start_soon(self.env.links.run, self.peering.answer)
+        background.start_soon(self._get_settings)
+        background.start_soon(self.peering.beat_forever)
+        background.start_soon(self.peering.watch_list)
+        background.start_soon(self.watcher.watch)
+        logger.info("app: started")
+
+    def drain(self) -> None:
+        """Begin a graceful shutdown: readiness falls, then listening ends."""
+        self._draining.set()
+
+    async def stop(self) -> None:
+        """Finish what must be written, and tell the peers."""
+        with trio.move_on_after(CLOSE_LEDGER_S):
+            while self.ledger.closing:
+                await trio.sleep(0.05)
+        logger.info("app: stopped", extra={"ledger_open": self.ledger.closing})
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        return self.keeper.log.number > 0 and not self._draining.is_set()
+
+    def may_admit(self) -> bool:
+        """Return whether the settings in force are confirmed."""
+        return self.keeper.log.is_confirmed(self.env.clock.now())
+
+    def _build(self, background: trio.Nursery) -> None:
+        runner = AttemptRunner(self.env, self.router, self.crashes, background)
+        self.ledger = LedgerKeeper(self.env, background)
+        self.gateway = Gateway(
+            self.env,
+            self.keeper,
+            self.desk,
+            self.router,
+            self.limits,
+            self.crashes,
+            runner,
+        )
+        plain = PlainGateway(self.env, self.desk, self.router, self.limits, self.ledger)
+        self.web = CallerWeb(
+            self.env,
+            self.keeper.log,
+            self.gateway,
+            plain,
+            self.is_ready,
+            self.may_admit,
+        )
+        self.operator_web = OperatorWeb(
+            self.env,
+            self.keeper,
+            self.members,
+            self.liveness,
+            self.router,
+            self.ledger,
+            self.journal,
+        )
+
+    async def _get_settings(self) -> None:
+        """Find the settings, on the platform or at a peer, then follow them."""
+        while self.keeper.log.number == 0:
+            await self.keeper.refresh()
+            if self.keeper.log.number == 0 and self._first_tree:
+                await self.keeper.bootstrap(self._first_tree)
+            await trio.sleep(FIRST_SETTINGS_PAUSE_S)
+        await self.keeper.refresh()
+        self.peering.beat(MemberState.LIVE)
+        logger.info(
+            "app: settings in force", extra={"revision": self.keeper.log.number}
+        )
+        await self.keeper.follow()
+
+    async def _serve_callers(self) -> None:
+        settings = self.env.settings
+        graceful_s = max(
+            [settings.slow_caller_s, *self._allowed_times_s()], default=0.0
+        )
+        config = _hypercorn_config(str(settings.callers), settings.slow_caller_s)
+        config.graceful_timeout = graceful_s
+        app = _BoundedConnections(self.web.asgi(), settings.max_connections)
+        await _serve(app, config, self._wait_until_drained)
+
+    async def _serve_operators(self) -> None:
+        settings = self.env.settings
+        config = _hypercorn_config(str(settings.operators), settings.slow_caller_s)
+        await _serve(self.operator_web.asgi(), config, trio.sleep_forever)
+
+    async def _wait_until_drained(self) -> None:
+        """Return once the listener may close; readiness has fallen before."""
+        await self._draining.wait()
+        logger.info("app: draining")
+        await self.peering.leave()
+        await trio.sleep(self.env.settings.drain_s)
+
+    def _allowed_times_s(self) -> list[float]:
+        tree = self.keeper.log.tree
+        overrides = [tree.base]
+        for account in tree.accounts.values():
+            overrides += [account.policy, *account.services.values()]
+        times = [item.max_allowed_time_s for item in overrides]
+        return [time_s for time_s in times if time_s] or [600.0]
+
+
+class _BoundedConnections:
+    """Refuses requests past a bound, at once."""
+
+    def __init__(self, app: t.Any, bound: int) -> None:
+        self._app = app
+        self._bound = bound
+        self._count = 0
+
+    async def __call__(self, scope: t.Any, receive: t.Any, send: t.Any) -> None:
+        if scope["type"] != "http":
+            await self._app(scope, receive, send)
+            return
+        if self._count >= self._bound:
+            headers = [(b"retry-after", b"1")]
+            start = {"type": "http.response.start", "status": 503, "headers": headers}
+            await send(start)
+            await send({"type": "http.response.body", "body": b""})
+            return
+        self._count += 1
+        try:
+            await self._app(scope, receive, send)
+        finally:
+            self._count -= 1
+
+
+def _hypercorn_config(bind: str, slow_s: float) -> hypercorn.config.Config:
+    config = hypercorn.config.Config()
+    config.bind = [bind]
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.read_timeout = None
+    config.errorlog = None
+    config.include_server_header = False
+    return config
+
+
+async def _serve(
+    app: t.Any,
+    config: hypercorn.config.Config,
+    until: t.Callable[[], t.Awaitable[None]],
+) -> None:
+    try:
+        await hypercorn.trio.serve(app, config, mode="asgi", shutdown_trigger=until)
+    except OSError as error:
+        raise AddressInUseError(
+            f"address {config.bind} can't be listened on: {error}"
+        ) from error
+
+
+def _own_member(env: Environment) -> Member:
+    return Member(
+        id=env.settings.id,
+        incarnation=env.incarnation,
+        beat=0,
+        state=MemberState.STARTING,
+        address=str(env.settings.peers),
+        data_centre=env.settings.data_centre,
+        revision=0,
+    )
--- /dev/null
+++ b/src/foxtailsaddle/app/_attempts.py
@@ -0,0 +1,255 @@
+"""Runs one attempt at a model endpoint, through silent connections."""
+
+import dataclasses
+import logging
+import typing as t
+
+import trio
+
+from ..adapters import length_class
+from ..core import AttemptId, EndpointId, Quote, rank_of
+from ..errors import (
+    EndpointFailedError,
+    ExchangeBrokenError,
+    FoxtailsaddleError,
+    NothingSentError,
+)
+from ..ports import AttemptState, ModelJob, Placed, TokenEvent
+from ..verdicts import Verdict
+from ._environment import Environment
+from ._guards import CrashWatch
+from ._router import Router
+from ._trip import MS_PER_S, Trip
+
+logger = logging.getLogger("foxtailsaddle.attempts")
+
+CANCEL_TRIES = 3
+CANCEL_PAUSE_S = 0.5
+NOMINAL_PREFILL_TOKENS_PER_S = 20_000
+MAX_REATTACHES_WITHOUT_TOKEN = 100
+
+
+class Sink(t.Protocol):
+    """Takes the tokens of an answer, in order and each once."""
+
+    async def token(self, text: str) -> None:
+        """Take one token."""
+
+    async def finish(self, reason: str) -> None:
+        """Take the end of a whole answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelCall:
+    """A prompt as a caller sent it.
+
+    :param tokens: estimate of the prompt's length.
+    """
+
+    prompt: str
+    messages: tuple[dict[str, t.Any], ...]
+    options: t.Mapping[str, t.Any]
+    max_tokens: int
+    tokens: int
+
+    @property
+    def held_tokens(self) -> int:
+        """Tokens of KV cache that the call may come to hold."""
+        return self.tokens + self.max_tokens
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """The part of an answer that has reached the sink."""
+
+    sink: Sink
+    count: int = 0
+    text: list[str] = dataclasses.field(default_factory=list)
+    finished: bool = False
+
+
+class AttemptRunner:
+    """Runs attempts, and cancels at the endpoint what did not finish."""
+
+    def __init__(
+        self,
+        env: Environment,
+        router: Router,
+        crashes: CrashWatch,
+        background: trio.Nursery,
+    ) -> None:
+        self._env = env
+        self._router = router
+        self._crashes = crashes
+        self._background = background
+
+    async def run(
+        self, quote: Quote, call: ModelCall, trip: Trip, answer: Answer
+    ) -> None:
+        """Run the trip's current attempt at the quoted endpoint.
+
+        :raises EndpointFailedError: with the verdict of this attempt.
+        """
+        attempt = trip.attempt
+        url = self._router.find(quote.endpoint).url
+        self._router.place(self._placed(quote.endpoint, call, trip))
+        reached = True
+        try:
+            await self._stream_whole(quote, url, call, trip, answer)
+        except NothingSentError as error:
+            reached = False
+            raise EndpointFailedError(
+                f'endpoint "{quote.endpoint}" was not reached: {error.message}'
+            ) from error
+        finally:
+            self._router.release(quote.endpoint, str(attempt))
+            if reached and not answer.finished:
+                self._background.start_soon(self._cancel, url, attempt)
+
+    async def _stream_whole(
+        self, quote: Quote, url: str, call: ModelCall, trip: Trip, answer: Answer
+    ) -> None:
+        """Stream until the answer is whole, reattaching after silence."""
+        idle = 0
+        first = True
+        while not answer.finished:
+            before = answer.count
+            try:
+                await self._stream_once(quote, url, call, trip, answer)
+            except ExchangeBrokenError as error:
+                trip.raise_verdict(Verdict.MAY_HAVE_RUN)
+                await self._ask_after(quote, url, trip, error)
+            except NothingSentError as error:
+                if first:
+                    raise
+                await self._ask_after(quote, url, trip, error)
+            first = False
+            idle = 0 if answer.count > before else idle + 1
+            if idle > MAX_REATTACHES_WITHOUT_TOKEN:
+                raise _lost(quote.endpoint, "no token after many reattaches")
+
+    async def _stream_once(
+        self, quote: Quote, url: str, call: ModelCall, trip: Trip, answer: Answer
+    ) -> None:
+        job = self._job(call, trip, answer)
+        stall_s = trip.policy.stall_s
+        models = self._env.models
+        async with models.stream(url, trip.attempt, job, stall_s) as events:
+            trip.raise_verdict(Verdict.MAY_HAVE_RUN)
+            async for event in events:
+                await self._take(event, quote.endpoint, call, trip, answer)
+                if answer.finished:
+                    return
+
+    async def _take(
+        self,
+        event: TokenEvent,
+        endpoint: EndpointId,
+        call: ModelCall,
+        trip: Trip,
+        answer: Answer,
+    ) -> None:
+        """Pass one event on, if it is the next of this answer."""
+        if event.offset < answer.count:
+            return
+        if event.offset > answer.count:
+            raise ExchangeBrokenError(
+                f"token {answer.count} is missing, {event.offset} came"
+            )
+        if event.finish_reason is not None:
+            trip.raise_verdict(Verdict.RAN)
+            answer.finished = True
+            await answer.sink.finish(event.finish_reason)
+            return
+        if answer.count == 0:
+            self._note_first_token(endpoint, call, trip)
+        answer.count += 1
+        answer.text.append(event.text)
+        await answer.sink.token(event.text)
+
+    def _note_first_token(
+        self, endpoint: EndpointId, call: ModelCall, trip: Trip
+    ) -> None:
+        self._router.prefilled(endpoint, str(trip.attempt))
+        label = length_class(call.tokens)
+        self._env.metrics.ttft.observe({"length": label}, trip.waited_s)
+        trip.note("first token", f'from endpoint "{endpoint}"')
+
+    async def _ask_after(
+        self, quote: Quote, url: str, trip: Trip, error: FoxtailsaddleError
+    ) -> None:
+        """Return when the attempt still runs, so that it can be resumed.
+
+        :raises EndpointFailedError: the endpoint has lost it or is gone.
+        """
+        trip.note("ask after attempt", error.message)
+        try:
+            state = await self._env.models.state(url, trip.attempt)
+        except NothingSentError as gone:
+            if gone.refused:
+                self._suspect(quote, trip)
+            raise _lost(quote.endpoint, gone.message) from gone
+        except FoxtailsaddleError as silent:
+            raise _lost(quote.endpoint, silent.message) from silent
+        if state is AttemptState.UNKNOWN:
+            if await self._has_restarted(quote, url):
+                self._suspect(quote, trip)
+            raise _lost(quote.endpoint, "it does not know the attempt any more")
+
+    async def _has_restarted(self, quote: Quote, url: str) -> bool:
+        try:
+            report = await self._env.models.load(url)
+        except FoxtailsaddleError:
+            return False
+        return report.incarnation != quote.incarnation
+
+    def _suspect(self, quote: Quote, trip: Trip) -> None:
+        trip.suspect = True
+        death = f"{quote.endpoint}/{quote.incarnation}"
+        self._crashes.suspect(trip.fingerprint, death)
+        trip.note("suspected", f'endpoint "{quote.endpoint}" died under it')
+
+    async def _cancel(self, url: str, attempt: AttemptId) -> None:
+        """Free the endpoint's memory; the reaper does what this can't."""
+        for _ in range(CANCEL_TRIES):
+            try:
+                await self._env.models.cancel(url, str(attempt))
+                return
+            except FoxtailsaddleError:
+                await trio.sleep(CANCEL_PAUSE_S)
+        logger.info("attempts: cancel not confirmed", extra={"attempt": str(attempt)})
+
+    def _placed(self, endpoint: EndpointId, call: ModelCall, trip: Trip) -> Placed:
+        return Placed(
+            endpoint=endpoint,
+            attempt=str(trip.attempt),
+            prompt_tokens=call.tokens,
+            held_tokens=call.held_tokens,
+            waited_s=trip.waited_s,
+            left_s=trip.left_s,
+            suspect=trip.suspect,
+        )
+
+    def _priority(self, call: ModelCall, trip: Trip) -> float:
+        """Return the engine priority: the rank, on the common wall clock."""
+        arrived_at = self._env.clock.wall_ms() / MS_PER_S - trip.waited_s
+        return rank_of(arrived_at, call.tokens, NOMINAL_PREFILL_TOKENS_PER_S)
+
+    def _job(self, call: ModelCall, trip: Trip, answer: Answer) -> ModelJob:
+        return ModelJob(
+            model=trip.service,
+            prompt=call.prompt,
+            messages=call.messages,
+            options=call.options,
+            max_tokens=call.max_tokens,
+            priority=self._priority(call, trip),
+            salt=trip.account,
+            resume_from=answer.count,
+            resume_text="".join(answer.text),
+        )
+
+
+def _lost(endpoint: EndpointId, why: str) -> EndpointFailedError:
+    return EndpointFailedError(
+        f'endpoint "{endpoint}" failed: {why}', verdict=Verdict.MAY_HAVE_RUN
+    )
--- /dev/null
+++ b/src/foxtailsaddle/app/_gateway.py
@@ -0,0 +1,220 @@
+"""The path of a model request: admit, route, attempt, and again."""
+
+import logging
+
+import trio
+
+from ..core import (
+    AccountId,
+    Quote,
+    RetryBudget,
+    Service,
+    ServiceId,
+    ServiceKind,
+    may_retry,
+)
+from ..errors import (
+    DeadlineExceededError,
+    EndpointFailedError,
+    FoxtailsaddleError,
+    OverloadedError,
+    PromptTooLargeError,
+    ServiceUnknownError,
+)
+from ._attempts import Answer, AttemptRunner, ModelCall, Sink
+from ._environment import Environment
+from ._guards import CrashWatch, LimitGuard
+from ._router import Router, Wish
+from ._settings_keeper import SettingsKeeper
+from ._trip import Trip, TripDesk
+
+logger = logging.getLogger("foxtailsaddle.gateway")
+
+NO_ENDPOINT_WAIT_S = 2.0
+NO_ENDPOINT_PAUSE_S = 0.05
+MIN_RETRY_AFTER_S = 1.0
+
+
+class Gateway:
+    """Serves model requests."""
+
+    def __init__(
+        self,
+        env: Environment,
+        keeper: SettingsKeeper,
+        desk: TripDesk,
+        router: Router,
+        limits: LimitGuard,
+        crashes: CrashWatch,
+        runner: AttemptRunner,
+    ) -> None:
+        self._env = env
+        self._keeper = keeper
+        self._desk = desk
+        self._router = router
+        self._limits = limits
+        self._crashes = crashes
+        self._runner = runner
+        self._budget = RetryBudget()
+
+    def service(self, service_id: ServiceId, kind: ServiceKind) -> Service:
+        """Return a service's settings.
+
+        :raises ServiceUnknownError: no service of this kind has that name.
+        """
+        service = self._keeper.log.tree.services.get(service_id)
+        if service is None or service.kind is not kind:
+            raise ServiceUnknownError(
+                f'{kind.value} service "{service_id}" does not exist'
+            )
+        return service
+
+    def open(
+        self,
+        account: AccountId,
+        service: ServiceId,
+        allowed_s: float | None,
+        fingerprint: str,
+    ) -> Trip:
+        """Open a trip for a request of this account."""
+        policy = self._keeper.log.tree.policy(account, service)
+        return self._desk.open(account, service, policy, allowed_s, fingerprint)
+
+    async def complete(self, trip: Trip, call: ModelCall, sink: Sink) -> None:
+        """Serve one request; the sink gets the whole answer, or this raises.
+
+        :raises FoxtailsaddleError: the final answer, with its verdict.
+        """
+        with self._env.tracer.start_as_current_span("request") as span:
+            span.set_attribute("request", trip.request_id)
+            span.set_attribute("tokens", call.tokens)
+            try:
+                with trio.fail_at(trip.deadline):
+                    await self._admit(trip, call)
+                    await self._attempt_until_whole(trip, call, Answer(sink))
+            except trio.TooSlowError as error:
+                raise DeadlineExceededError(
+                    "the allowed time ended before the answer was whole",
+                    retry_after_s=MIN_RETRY_AFTER_S,
+                    verdict=trip.verdict,
+                ) from error
+            finally:
+                self._crashes.end(trip.fingerprint, trip.request_id)
+                self._desk.close(trip)
+                span.set_attribute("verdict", trip.verdict.value)
+
+    async def _admit(self, trip: Trip, call: ModelCall) -> None:
+        with self._env.tracer.start_as_current_span("admit"):
+            self._check_size(trip, call)
+            await self._limits.admit(
+                trip.account, trip.service, call.held_tokens, trip.policy
+            )
+            trip.note("admitted", f"estimated at {call.tokens} tokens")
+
+    def _check_size(self, trip: Trip, call: ModelCall) -> None:
+        service = self.service(trip.service, ServiceKind.MODEL)
+        largest = max(
+            (item.capacity_tokens for item in service.endpoints.values()), default=0
+        )
+        if call.held_tokens > largest:
+            raise PromptTooLargeError(
+                f"a prompt of {call.tokens} tokens does not fit service "
+                f'"{trip.service}", which holds {largest}'
+            )
+
+    async def _attempt_until_whole(
+        self, trip: Trip, call: ModelCall, answer: Answer
+    ) -> None:
+        self._budget.note_first_attempt()
+        while True:
+            try:
+                await self._may_run(trip)
+                quote = await self._find_endpoint(trip, call)
+                with self._env.tracer.start_as_current_span("attempt") as span:
+                    span.set_attribute("attempt", str(trip.attempt))
+                    span.set_attribute("endpoint", quote.endpoint)
+                    await self._runner.run(quote, call, trip, answer)
+                self._count_attempt(quote, "whole")
+                return
+            except EndpointFailedError as error:
+                self._count_attempt(quote, error.code)
+                self._prepare_retry(trip, quote, error)
+            except FoxtailsaddleError as error:
+                error.verdict = trip.verdict
+                raise
+
+    def _prepare_retry(
+        self, trip: Trip, quote: Quote, error: EndpointFailedError
+    ) -> None:
+        """Get the trip ready for another attempt, or raise the final answer."""
+        trip.raise_verdict(error.verdict)
+        self._router.failed(quote.endpoint)
+        trip.note("attempt failed", error.message)
+        again = may_retry(
+            error.verdict,
+            repeatable=True,
+            attempts=trip.attempt.number,
+            max_attempts=trip.policy.max_attempts,
+        )
+        if not again or not self._budget.take():
+            error.verdict = trip.verdict
+            error.retry_after_s = MIN_RETRY_AFTER_S
+            raise error
+        trip.failed = trip.failed | {quote.endpoint}
+        trip.attempt = trip.attempt.next()
+
+    async def _may_run(self, trip: Trip) -> None:
+        """Wait until the crash watch lets this copy of the request run."""
+        while True:
+            reply = await self._crashes.start(
+                trip.fingerprint, trip.request_id, trip.left_s
+            )
+            trip.suspect = trip.suspect or reply.deaths > 0
+            if not reply.wait_s:
+                return
+            if trip.attempt.number == 1:
+                raise OverloadedError(
+                    "as many copies of this very request are running as may",
+                    retry_after_s=reply.wait_s,
+                )
+            await trio.sleep(min(reply.wait_s, NO_ENDPOINT_PAUSE_S))
+
+    async def _find_endpoint(self, trip: Trip, call: ModelCall) -> Quote:
+        """Return the best endpoint, or refuse what can't finish in time."""
+        since = self._env.clock.now()
+        with self._env.tracer.start_as_current_span("route"):
+            while True:
+                quote = await self._router.choose(self._wish(trip, call))
+                if quote is not None:
+                    break
+                if self._env.clock.now() - since > NO_ENDPOINT_WAIT_S:
+                    raise OverloadedError(
+                        f'no endpoint of service "{trip.service}" takes new work',
+                        retry_after_s=MIN_RETRY_AFTER_S,
+                    )
+                trip.failed = frozenset()
+                await trio.sleep(NO_ENDPOINT_PAUSE_S)
+        if quote.total_s > trip.left_s:
+            raise OverloadedError(
+                f"the first token is {quote.total_s:.1f} s away, past the allowed time",
+                retry_after_s=max(MIN_RETRY_AFTER_S, quote.wait_s),
+            )
+        trip.note(
+            "routed",
+            f'to "{quote.endpoint}": {quote.wait_s:.3f} s of work ahead, '
+            f"{quote.own_s:.3f} s of its own",
+        )
+        return quote
+
+    def _wish(self, trip: Trip, call: ModelCall) -> Wish:
+        return Wish(
+            service=trip.service,
+            tokens=call.tokens,
+            held_tokens=call.held_tokens,
+            waited_s=trip.waited_s,
+            without=trip.failed,
+            suspect=trip.suspect,
+        )
+
+    def _count_attempt(self, quote: Quote, result: str) -> None:
+        self._env.metrics.attempts.inc({"endpoint": quote.endpoint, "result": result})
--- /dev/null
+++ b/src/foxtailsaddle/app/_guards.py
@@ -0,0 +1,172 @@
+"""Asks the homes of accounts and fingerprints whether a request may run."""
+
+from ..core import (
+    AccountId,
+    Allowance,
+    CrashGuard,
+    HomeLimits,
+    InstanceId,
+    Members,
+    Policy,
+    ServiceId,
+    owner_of,
+)
+from ..errors import LimitExceededError, QuarantinedError
+from ..ports import (
+    Ended,
+    GrantReply,
+    GrantRequest,
+    StartReply,
+    StartRequest,
+    Suspicion,
+)
+from ._environment import Environment
+
+HOME_TIMEOUT_S = 0.1
+
+
+class LimitGuard:
+    """Holds the limits of client accounts over all instances."""
+
+    def __init__(self, env: Environment, members: Members) -> None:
+        self._env = env
+        self._members = members
+        self._home = HomeLimits()
+        self._share = HomeLimits()
+        self._owners: list[InstanceId] = []
+
+    async def admit(
+        self, account: AccountId, service: ServiceId, tokens: int, policy: Policy
+    ) -> None:
+        """Count one request against the account's limits.
+
+        While the home does not answer, this instance admits its even share.
+
+        :raises LimitExceededError: with the seconds after which to come back.
+        """
+        request = GrantRequest(
+            key=f"{account}/{service}",
+            tokens=tokens,
+            requests_per_s=policy.requests_per_s,
+            tokens_per_s=policy.tokens_per_s,
+        )
+        wait_s = await self._ask_home(request)
+        if wait_s > 0:
+            raise LimitExceededError(
+                f'client account "{account}" is over its limit at "{service}"',
+                retry_after_s=wait_s,
+            )
+
+    def answer(self, request: GrantRequest) -> GrantReply:
+        """Decide as the home of the account."""
+        self._note_owners()
+        allowance = Allowance(request.requests_per_s, request.tokens_per_s)
+        now = self._env.clock.now()
+        return GrantReply(self._home.take(request.key, request.tokens, allowance, now))
+
+    def forget_idle(self) -> None:
+        """Drop what was not used for a while."""
+        self._note_owners()
+        now = self._env.clock.now()
+        self._home.forget_idle(now)
+        self._share.forget_idle(now)
+
+    def _note_owners(self) -> None:
+        now = self._env.clock.now()
+        owners = self._members.owners(now)
+        if owners != self._owners:
+            self._owners = owners
+            self._home.settle(now)
+
+    async def _ask_home(self, request: GrantRequest) -> float:
+        home = _home_of(f"account:{request.key}", self._env, self._members)
+        if home == self._members.own.id:
+            return self.answer(request).wait_s
+        member = self._members.get(home)
+        reply = await self._env.links.ask(member, request, HOME_TIMEOUT_S)
+        if isinstance(reply, GrantReply):
+            return reply.wait_s
+        return self._take_share(request)
+
+    def _take_share(self, request: GrantRequest) -> float:
+        now = self._env.clock.now()
+        count = len(self._members.owners(now))
+        allowance = Allowance(
+            request.requests_per_s / count, request.tokens_per_s / count
+        )
+        return self._share.take(request.key, request.tokens, allowance, now)
+
+
+class CrashWatch:
+    """Keeps a request that crashes endpoints from reaching more of them."""
+
+    def __init__(self, env: Environment, members: Members) -> None:
+        self._env = env
+        self._members = members
+        self._guard = CrashGuard()
+
+    async def start(self, fingerprint: str, request: str, left_s: float) -> StartReply:
+        """Ask whether a copy of the request may run.
+
+        :raises QuarantinedError: too many endpoints died under it.
+        """
+        message = StartRequest(fingerprint, request, left_s)
+        home = self._home(fingerprint)
+        reply = None
+        if home != self._members.own.id:
+            member = self._members.get(home)
+            reply = await self._env.links.ask(member, message, HOME_TIMEOUT_S)
+        if not isinstance(reply, StartReply):
+            reply = self.answer(message)
+        if reply.deaths >= 2:
+            raise QuarantinedError(
+                "endpoints died while they ran this request; it is not run again",
+                retry_after_s=reply.wait_s,
+            )
+        return reply
+
+    def answer(self, message: StartRequest) -> StartReply:
+        """Decide as the home of the fingerprint."""
+        now = self._env.clock.now()
+        until = now + message.left_s
+        wait_s = self._guard.start(message.fingerprint, message.request, until, now)
+        return StartReply(wait_s, self._guard.deaths(message.fingerprint, now))
+
+    def end(self, fingerprint: str, request: str) -> None:
+        """Count a copy as ended, here and at the home."""
+        message = Ended(fingerprint, request)
+        self.note_ended(message)
+        self._tell_home(fingerprint, message)
+
+    def note_ended(self, message: Ended) -> None:
+        """Count a copy as ended."""
+        self._guard.end(message.fingerprint, message.request)
+
+    def suspect(self, fingerprint: str, death: str) -> None:
+        """Report the death of an endpoint that ran the request."""
+        message = Suspicion(fingerprint, death)
+        self.note_suspicion(message)
+        self._tell_home(fingerprint, message)
+
+    def note_suspicion(self, message: Suspicion) -> None:
+        """Record a death that a peer reports."""
+        now = self._env.clock.now()
+        self._guard.note_death(message.fingerprint, message.death, now)
+
+    def suspicions(self) -> tuple[Suspicion, ...]:
+        """Return all suspicions, for gossip."""
+        now = self._env.clock.now()
+        return tuple(Suspicion(*pair) for pair in self._guard.suspicions(now))
+
+    def _home(self, fingerprint: str) -> InstanceId:
+        return _home_of(f"crash:{fingerprint}", self._env, self._members)
+
+    def _tell_home(self, fingerprint: str, message: Ended | Suspicion) -> None:
+        home = self._home(fingerprint)
+        member = self._members.get(home)
+        if home != self._members.own.id and member is not None:
+            self._env.links.tell(member, message)
+
+
+def _home_of(key: str, env: Environment, members: Members) -> InstanceId:
+    return InstanceId(owner_of(key, members.owners(env.clock.now())))
--- /dev/null
+++ b/src/foxtailsaddle/app/_operator_web.py
@@ -0,0 +1,207 @@
+"""The operators' interface, as an ASGI application."""
+
+import dataclasses
+import hashlib
+import hmac
+import json
+import typing as t
+
+import pydantic
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from ..core import (
+    AccountId,
+    EndpointId,
+    InstanceId,
+    Liveness,
+    Members,
+    Revision,
+    ServiceId,
+)
+from ..errors import (
+    FoxtailsaddleError,
+    NotFoundError,
+    RequestInvalidError,
+    UnauthorizedError,
+)
+from ._environment import Environment
+from ._journal import Journal
+from ._ledger_keeper import LedgerKeeper
+from ._router import Router
+from ._settings_keeper import Change, SettingsKeeper
+from ._sinks import problem
+
+
+class ChangeBody(pydantic.BaseModel):
+    """The body of a change to the settings."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    id: str = pydantic.Field(min_length=1, max_length=200)
+    base: int = pydantic.Field(ge=0)
+    patch: dict[str, t.Any]
+
+
+class OperatorWeb:
+    """Routes of the operators' interface."""
+
+    def __init__(
+        self,
+        env: Environment,
+        keeper: SettingsKeeper,
+        members: Members,
+        liveness: Liveness,
+        router: Router,
+        ledger: LedgerKeeper,
+        journal: Journal,
+    ) -> None:
+        self._env = env
+        self._keeper = keeper
+        self._members = members
+        self._liveness = liveness
+        self._router = router
+        self._ledger = ledger
+        self._journal = journal
+
+    def asgi(self) -> Starlette:
+        """Return the ASGI application."""
+        explain = "/settings/explain/{account}/{service}"
+        entry = "/ledger/{account}/{service}/{key:path}"
+        return Starlette(
+            routes=[
+                Route("/metrics", self._metrics),
+                Route("/settings", self._settings),
+                Route("/settings/changes", self._accept, methods=["POST"]),
+                Route("/settings/changes/{id}", self._change),
+                Route("/settings/history", self._history),
+                Route(explain, self._explain),
+                Route("/instances", self._instances),
+                Route("/endpoints", self._endpoints),
+                Route("/requests/{id}", self._request),
+                Route(entry, self._entry),
+            ],
+            exception_handlers={FoxtailsaddleError: _refuse},
+        )
+
+    async def _metrics(self, request: Request) -> Response:
+        body, headers = self._env.metrics.render(
+            request.headers.getlist("accept") or ["*/*"]
+        )
+        return Response(body, headers=headers)
+
+    async def _settings(self, request: Request) -> Response:
+        self._operator(request)
+        log = self._keeper.log
+        return JSONResponse({"revision": log.number, "tree": log.document})
+
+    async def _accept(self, request: Request) -> Response:
+        author = self._operator(request)
+        try:
+            body = ChangeBody.model_validate(json.loads(await request.body()))
+        except ValueError as error:
+            raise RequestInvalidError(f"the change can't be read: {error}") from error
+        change = Change(body.id, author, body.base, body.patch)
+        revision = await self._keeper.accept(change)
+        return JSONResponse(_shown(revision))
+
+    async def _change(self, request: Request) -> Response:
+        self._operator(request)
+        revision = await self._keeper.change(request.path_params["id"])
+        return JSONResponse(_shown(revision))
+
+    async def _history(self, request: Request) -> Response:
+        self._operator(request)
+        after = int(request.query_params.get("after", 0))
+        revisions = await self._keeper.history(after)
+        return JSONResponse({"revisions": [_shown(item) for item in revisions]})
+
+    async def _explain(self, request: Request) -> Response:
+        self._operator(request)
+        values = self._keeper.log.tree.explain(
+            AccountId(request.path_params["account"]),
+            ServiceId(request.path_params["service"]),
+        )
+        return JSONResponse({"values": [item._asdict() for item in values]})
+
+    async def _instances(self, request: Request) -> Response:
+        self._operator(request)
+        now = self._env.clock.now()
+        live = {member.id for member in self._members.live(now)}
+        everyone = [self._members.own, *self._members.known()]
+        rows = [
+            {
+                "id": member.id,
+                "state": member.state.value,
+                "live": member.id in live,
+                "revision": member.revision,
+                "data_centre": member.data_centre,
+                "address": member.address,
+            }
+            for member in sorted(everyone, key=lambda member: member.id)
+        ]
+        return JSONResponse({"instances": rows})
+
+    async def _endpoints(self, request: Request) -> Response:
+        self._operator(request)
+        rows = [
+            self._endpoint_row(service_id, endpoint_id)
+            for service_id, service in self._keeper.log.tree.services.items()
+            for endpoint_id in service.endpoints
+        ]
+        return JSONResponse({"endpoints": rows})
+
+    def _endpoint_row(self, service: str, endpoint_id: EndpointId) -> dict[str, t.Any]:
+        now = self._env.clock.now()
+        book = self._router.book(endpoint_id)
+        return {
+            "service": service,
+            "id": endpoint_id,
+            "withdrawn": self._router.find(endpoint_id).withdrawn,
+            "takes_work": self._liveness.may_get_work(endpoint_id, now),
+            "owner": self._router.owner(endpoint_id),
+            "prompts": len(book.by_attempt),
+            "backlog_s": round(book.backlog_s, 3),
+            "prefill_tokens_per_s": round(book.rate),
+        }
+
+    async def _request(self, request: Request) -> Response:
+        self._operator(request)
+        request_id = request.path_params["id"]
+        steps = self._journal.steps(request_id)
+        if not steps:
+            instance = InstanceId(request_id.partition("~")[0])
+            raise NotFoundError(
+                f'request "{request_id}" is not known here; ask instance "{instance}"'
+            )
+        rows = [dataclasses.asdict(step) for step in steps]
+        return JSONResponse({"id": request_id, "steps": rows})
+
+    async def _entry(self, request: Request) -> Response:
+        self._operator(request)
+        names = ("account", "service", "key")
+        entry = await self._ledger.show(*(request.path_params[n] for n in names))
+        return JSONResponse(entry.to_row())
+
+    def _operator(self, request: Request) -> str:
+        """Return the operator whose key the request carries."""
+        key = request.headers.get("authorization", "").removeprefix("Bearer ")
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        matches = [
+            operator
+            for operator, known in self._env.settings.operator_key_sha256.items()
+            if hmac.compare_digest(known, digest)
+        ]
+        if not matches:
+            raise UnauthorizedError("the key belongs to no operator")
+        return matches[0]
+
+
+async def _refuse(request: Request, error: FoxtailsaddleError) -> Response:
+    return problem(error)
+
+
+def _shown(revision: Revision) -> dict[str, t.Any]:
+    return dataclasses.asdict(revision)
--- /dev/null
+++ b/src/foxtailsaddle/app/_sinks.py
@@ -0,0 +1,200 @@
+"""Answers to callers: streamed or whole, and problems."""
+
+import json
+import math
+import time
+import typing as t
+
+import trio
+from starlette.responses import JSONResponse, Response
+from starlette.types import Receive, Scope, Send
+
+from ..errors import FoxtailsaddleError, RequestInvalidError
+
+PROBLEM_TYPE = "application/problem+json"
+DONE_EVENT = b"data: [DONE]\n\n"
+
+Serve = t.Callable[[t.Any], t.Awaitable[None]]
+
+
+def problem_body(error: FoxtailsaddleError) -> dict[str, t.Any]:
+    """Return an error as RFC 9457 problem details with code and verdict."""
+    body = {
+        "type": f"urn:foxtailsaddle:{error.code}",
+        "title": error.code.replace("_", " "),
+        "status": error.status,
+        "detail": error.message,
+        "code": error.code,
+        "verdict": error.verdict.value,
+    }
+    if error.retry_after_s is not None:
+        body["retry_after_s"] = round(error.retry_after_s, 3)
+    return body
+
+
+def problem(error: FoxtailsaddleError) -> Response:
+    """Return an error as a response."""
+    headers = {"x-verdict": error.verdict.value}
+    if error.retry_after_s is not None:
+        headers["retry-after"] = str(math.ceil(error.retry_after_s))
+    return JSONResponse(
+        problem_body(error),
+        status_code=error.status,
+        headers=headers,
+        media_type=PROBLEM_TYPE,
+    )
+
+
+class _AnswerSink:
+    """Runs a request while the caller stays connected.
+
+    :param serve: serves the request into this sink, or raises its final answer.
+    :param slow_s: longest wait for the caller to take bytes, in seconds.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        model: str,
+        chat: bool,
+        slow_s: float,
+        serve: Serve,
+        prompt_tokens: int,
+    ) -> None:
+        self._request_id = request_id
+        self._model = model
+        self._chat = chat
+        self._slow_s = slow_s
+        self._serve = serve
+        self._prompt_tokens = prompt_tokens
+        self._count = 0
+        self._created = int(time.time())
+        self._send: Send | None = None
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve the request as an ASGI response."""
+        self._send = send
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+            try:
+                await self._serve(self)
+            except FoxtailsaddleError as error:
+                await self._fail(error, scope, receive)
+            nursery.cancel_scope.cancel()
+
+    async def _fail(
+        self, error: FoxtailsaddleError, scope: Scope, receive: Receive
+    ) -> None:
+        await problem(error)(scope, receive, self._send)
+
+    async def _write(self, message: dict[str, t.Any]) -> None:
+        """Send to the caller; one that takes nothing for long is cut."""
+        with trio.move_on_after(self._slow_s) as scope:
+            await self._send(message)
+        if scope.cancelled_caught:
+            raise RequestInvalidError(f"the caller took no byte for {self._slow_s} s")
+
+    async def _start(self, content_type: str) -> None:
+        headers = [
+            (b"content-type", content_type.encode()),
+            (b"x-request-id", self._request_id.encode()),
+        ]
+        await self._write(
+            {"type": "http.response.start", "status": 200, "headers": headers}
+        )
+
+    def _frame(self, choice: dict[str, t.Any], kind: str) -> dict[str, t.Any]:
+        return {
+            "id": self._request_id,
+            "object": kind,
+            "created": self._created,
+            "model": self._model,
+            "choices": [{"index": 0, **choice}],
+        }
+
+    def _usage(self) -> dict[str, int]:
+        return {
+            "prompt_tokens": self._prompt_tokens,
+            "completion_tokens": self._count,
+            "total_tokens": self._prompt_tokens + self._count,
+        }
+
+
+class StreamSink(_AnswerSink):
+    """Server-sent events; a whole answer ends with ``[DONE]``.
+
+    A failure after the first token ends with an event named ``error``, so a
+    stream with neither was cut.
+    """
+
+    async def token(self, text: str) -> None:
+        """Send one token."""
+        if self._count == 0:
+            await self._start("text/event-stream")
+        self._count += 1
+        await self._event(self._choice(text, None))
+
+    async def finish(self, reason: str) -> None:
+        """Send the end of a whole answer."""
+        if self._count == 0:
+            await self._start("text/event-stream")
+        await self._event(self._choice("", reason))
+        await self._body(DONE_EVENT, more=False)
+
+    async def _fail(
+        self, error: FoxtailsaddleError, scope: Scope, receive: Receive
+    ) -> None:
+        if self._count == 0:
+            await super()._fail(error, scope, receive)
+            return
+        data = json.dumps(problem_body(error))
+        with trio.move_on_after(self._slow_s):
+            await self._body(f"event: error\ndata: {data}\n\n".encode(), more=False)
+
+    def _choice(self, text: str, reason: str | None) -> dict[str, t.Any]:
+        if self._chat:
+            choice = {"delta": {"content": text}, "finish_reason": reason}
+            return self._frame(choice, "chat.completion.chunk")
+        choice = {"text": text, "finish_reason": reason}
+        return self._frame(choice, "text_completion")
+
+    async def _event(self, frame: dict[str, t.Any]) -> None:
+        await self._body(f"data: {json.dumps(frame)}\n\n".encode(), more=True)
+
+    async def _body(self, data: bytes, more: bool) -> None:
+        await self._write(
+            {"type": "http.response.body", "body": data, "more_body": more}
+        )
+
+
+class WholeSink(_AnswerSink):
+    """One JSON document, sent when the answer is whole."""
+
+    def __init__(self, **options: t.Any) -> None:
+        super().__init__(**options)
+        self._texts: list[str] = []
+
+    async def token(self, text: str) -> None:
+        """Keep one token."""
+        self._count += 1
+        self._texts.append(text)
+
+    async def finish(self, reason: str) -> None:
+        """Send the whole answer."""
+        text = "".join(self._texts)
+        if self._chat:
+            message = {"role": "assistant", "content": text}
+            choice = {"message": message, "finish_reason": reason}
+            frame = self._frame(choice, "chat.completion")
+        else:
+            choice = {"text": text, "finish_reason": reason}
+            frame = self._frame(choice, "text_completion")
+        body = json.dumps({**frame, "usage": self._usage()}).encode()
+        await self._start("application/json")
+        await self._write({"type": "http.response.body", "body": body})
+
+
+async def _cancel_on_disconnect(receive: Receive, scope: trio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
--- /dev/null
+++ b/src/foxtailsaddle/app/_watcher.py
@@ -0,0 +1,96 @@
+"""Polls the endpoints that this instance owns, and reaps their orphans."""
+
+import logging
+
+import trio
+
+from ..core import (
+    Endpoint,
+    EndpointId,
+    Liveness,
+    Members,
+    ServiceKind,
+    orphans,
+)
+from ..errors import FoxtailsaddleError
+from ._environment import Environment
+from ._router import Router
+from ._settings_keeper import SettingsKeeper
+
+logger = logging.getLogger("foxtailsaddle.endpoints")
+
+MS_PER_S = 1000
+
+
+class EndpointWatcher:
+    """Keeps word of the owned endpoints fresh."""
+
+    def __init__(
+        self,
+        env: Environment,
+        keeper: SettingsKeeper,
+        members: Members,
+        liveness: Liveness,
+        router: Router,
+    ) -> None:
+        self._env = env
+        self._keeper = keeper
+        self._members = members
+        self._liveness = liveness
+        self._router = router
+
+    async def watch(self) -> None:
+        """Poll for ever."""
+        while True:
+            await self.poll()
+            await trio.sleep(self._env.settings.load_interval_s)
+
+    async def poll(self) -> None:
+        """Poll each owned endpoint once."""
+        async with trio.open_nursery() as nursery:
+            for service in self._keeper.log.tree.services.values():
+                for endpoint_id, endpoint in service.endpoints.items():
+                    if self._router.owner(endpoint_id) != self._members.own.id:
+                        continue
+                    poll = (
+                        self._poll_model
+                        if service.kind is ServiceKind.MODEL
+                        else self._poll_plain
+                    )
+                    nursery.start_soon(self._guarded, poll, endpoint_id, endpoint)
+
+    async def _guarded(self, poll, endpoint_id: EndpointId, endpoint: Endpoint) -> None:
+        try:
+            await poll(endpoint_id, endpoint)
+        except FoxtailsaddleError as error:
+            logger.info(
+                "endpoints: no word",
+                extra={"endpoint": endpoint_id, "error": error.message},
+            )
+
+    async def _poll_model(self, endpoint_id: EndpointId, endpoint: Endpoint) -> None:
+        asked_at = self._env.clock.now()
+        report = await self._env.models.load(endpoint.url)
+        self._liveness.heard(endpoint_id, report.incarnation, report.leaving, asked_at)
+        book = self._router.book(endpoint_id)
+        if book is not None:
+            age_s = report.age_s + self._env.clock.now() - asked_at
+            book.correct(report.remaining_by_attempt, age_s)
+        await self._reap(endpoint_id, endpoint, list(report.remaining_by_attempt))
+
+    async def _poll_plain(self, endpoint_id: EndpointId, endpoint: Endpoint) -> None:
+        asked_at = self._env.clock.now()
+        incarnation, leaving = await self._env.plain.health(endpoint.url)
+        self._liveness.heard(endpoint_id, incarnation, leaving, asked_at)
+
+    async def _reap(
+        self, endpoint_id: EndpointId, endpoint: Endpoint, held: list[str]
+    ) -> None:
+        grace_ms = int(self._env.settings.reap_grace_s * MS_PER_S)
+        for name in orphans(held, self._env.clock.wall_ms(), grace_ms):
+            await self._env.models.cancel(endpoint.url, name)
+            self._env.metrics.orphans.inc({})
+            logger.info(
+                "endpoints: orphan cancelled",
+                extra={"endpoint": endpoint_id, "attempt": name},
+            )
--- /dev/null
+++ b/src/foxtailsaddle/app/_web.py
@@ -0,0 +1,308 @@
+"""The callers' interface, as an ASGI application."""
+
+import hashlib
+import json
+import logging
+import typing as t
+
+import pydantic
+import trio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from ..core import (
+    AccountId,
+    RevisionLog,
+    Service,
+    ServiceId,
+    ServiceKind,
+)
+from ..errors import (
+    BodyTooLargeError,
+    FoxtailsaddleError,
+    NotReadyError,
+    RequestInvalidError,
+    UnauthorizedError,
+)
+from ._attempts import ModelCall
+from ._environment import Environment
+from ._gateway import Gateway
+from ._plain_gateway import PlainGateway, PlainRequest
+from ._sinks import StreamSink, WholeSink, problem
+from ._trip import Trip
+
+logger = logging.getLogger("foxtailsaddle.callers")
+
+ALLOWED_TIME_HEADER = "x-allowed-time-s"
+KEY_HEADER = "idempotency-key"
+VERDICT_HEADER = "x-verdict"
+REQUEST_HEADER = "x-request-id"
+MAX_KEY_CHARS = 200
+NOT_READY_RETRY_S = 2.0
+DEFAULT_OUTPUT_TOKENS = 256
+
+
+class CompletionBody(pydantic.BaseModel):
+    """The body of a completion; other options pass on to the engine."""
+
+    model_config = pydantic.ConfigDict(extra="allow")
+
+    model: str
+    prompt: str = ""
+    messages: list[dict[str, t.Any]] = []
+    max_tokens: int = pydantic.Field(DEFAULT_OUTPUT_TOKENS, gt=0)
+    stream: bool = False
+
+
+class CallerWeb:
+    """Routes of the callers' interface."""
+
+    def __init__(
+        self,
+        env: Environment,
+        log: RevisionLog,
+        gateway: Gateway,
+        plain: PlainGateway,
+        is_ready: t.Callable[[], bool],
+        may_admit: t.Callable[[], bool],
+    ) -> None:
+        self._env = env
+        self._log = log
+        self._gateway = gateway
+        self._plain = plain
+        self._is_ready = is_ready
+        self._may_admit = may_admit
+        self._account_by_key: tuple[int, dict[str, AccountId]] = (-1, {})
+
+    def asgi(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/v1/completions", self._completions, methods=["POST"]),
+                Route("/v1/chat/completions", self._completions, methods=["POST"]),
+                Route(
+                    "/v1/services/{service}/{path:path}",
+                    self._service,
+                    methods=["GET", "POST"],
+                ),
+                Route("/healthz", self._health),
+                Route("/readyz", self._ready),
+            ],
+            exception_handlers={
+                FoxtailsaddleError: self._refuse,
+                Exception: self._refuse,
+            },
+        )
+
+    async def _health(self, request: Request) -> Response:
+        return JSONResponse({"state": "up"})
+
+    async def _ready(self, request: Request) -> Response:
+        if self._is_ready() and self._may_admit():
+            return JSONResponse({"state": "ready"})
+        return JSONResponse({"state": "not ready"}, status_code=503)
+
+    async def _refuse(self, request: Request, error: Exception) -> Response:
+        if not isinstance(error, FoxtailsaddleError):
+            logger.error("callers: unexpected error", exc_info=error)
+            error = FoxtailsaddleError("an unexpected error happened here")
+        self._count(error.code)
+        return problem(error)
+
+    async def _completions(self, request: Request) -> t.Any:
+        account = self._authenticate(request)
+        self._check_admitting()
+        raw = await self._read_body(request, self._log.tree.max_body_bytes(account))
+        chat = request.url.path.endswith("/chat/completions")
+        body = _parse_completion(raw, chat)
+        service_id = ServiceId(body.model)
+        service = self._gateway.service(service_id, ServiceKind.MODEL)
+        policy = self._log.tree.policy(account, service_id)
+        _check_length(raw, policy.max_body_bytes)
+        call = _model_call(body, service)
+        if call.max_tokens > policy.max_output_tokens:
+            raise RequestInvalidError(
+                f"max_tokens {call.max_tokens} is over {policy.max_output_tokens}"
+            )
+        trip = self._gateway.open(
+            account, service_id, _allowed_s(request), _digest(account, raw)
+        )
+        sink_type = StreamSink if body.stream else WholeSink
+        return sink_type(
+            request_id=trip.request_id,
+            model=body.model,
+            chat=chat,
+            slow_s=self._env.settings.slow_caller_s,
+            serve=lambda sink: self._serve(trip, call, sink),
+            prompt_tokens=call.tokens,
+        )
+
+    async def _serve(self, trip: Trip, call: ModelCall, sink: t.Any) -> None:
+        try:
+            await self._gateway.complete(trip, call, sink)
+        except FoxtailsaddleError as error:
+            self._count(error.code)
+            self._log_end(trip, error.code)
+            raise
+        self._count("ok")
+        self._log_end(trip, "ok")
+
+    async def _service(self, request: Request) -> Response:
+        account = self._authenticate(request)
+        self._check_admitting()
+        service_id = ServiceId(request.path_params["service"])
+        service = self._gateway.service(service_id, ServiceKind.PLAIN)
+        policy = self._log.tree.policy(account, service_id)
+        body = await self._read_body(request, policy.max_body_bytes)
+        plain = _plain_request(request, body)
+        trip = self._gateway.open(
+            account, service_id, _allowed_s(request), _digest(account, body)
+        )
+        try:
+            answer = await self._plain.call(trip, service, plain)
+        except FoxtailsaddleError as error:
+            self._log_end(trip, error.code)
+            raise
+        self._count("ok")
+        self._log_end(trip, "ok")
+        return Response(
+            answer.body,
+            status_code=answer.status,
+            media_type=answer.content_type,
+            headers={
+                VERDICT_HEADER: answer.verdict.value,
+                REQUEST_HEADER: trip.request_id,
+            },
+        )
+
+    def _authenticate(self, request: Request) -> AccountId:
+        """Return the account of the bearer key.
+
+        Keys are compared by their hash, so the look-up's timing tells nothing
+        that helps to guess a key.
+        """
+        scheme, _, key = request.headers.get("authorization", "").partition(" ")
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        account = self._accounts().get(digest)
+        if scheme.lower() != "bearer" or account is None:
+            raise UnauthorizedError("the bearer key belongs to no client account")
+        return account
+
+    def _accounts(self) -> dict[str, AccountId]:
+        number, by_key = self._account_by_key
+        if number != self._log.number:
+            by_key = {
+                digest: account_id
+                for account_id, account in self._log.tree.accounts.items()
+                for digest in account.key_sha256
+            }
+            self._account_by_key = (self._log.number, by_key)
+        return by_key
+
+    def _check_admitting(self) -> None:
+        if not self._may_admit():
+            raise NotReadyError(
+                "this instance can't confirm its settings now",
+                retry_after_s=NOT_READY_RETRY_S,
+            )
+
+    async def _read_body(self, request: Request, limit: int) -> bytes:
+        body = bytearray()
+        slow_s = self._env.settings.slow_caller_s
+        stream = request.stream()
+        while True:
+            with trio.move_on_after(slow_s) as scope:
+                chunk = await anext(stream, None)
+            if scope.cancelled_caught:
+                raise RequestInvalidError(f"no byte of the body came in {slow_s} s")
+            if chunk is None:
+                return bytes(body)
+            body += chunk
+            _check_length(body, limit)
+
+    def _count(self, code: str) -> None:
+        self._env.metrics.requests.inc({"code": code})
+
+    def _log_end(self, trip: Trip, code: str) -> None:
+        logger.info(
+            "callers: request ended",
+            extra={
+                "request": trip.request_id,
+                "attempt": str(trip.attempt),
+                "account": trip.account,
+                "service": trip.service,
+                "verdict": trip.verdict.value,
+                "code": code,
+                "ms": int(trip.waited_s * 1000),
+            },
+        )
+
+
+def _check_length(body: bytes | bytearray, limit: int) -> None:
+    if len(body) > limit:
+        raise BodyTooLargeError(f"the body is over {limit} bytes")
+
+
+def _parse_completion(raw: bytes, chat: bool) -> CompletionBody:
+    try:
+        body = CompletionBody.model_validate(json.loads(raw))
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        path = ".".join(map(str, first["loc"])) or "(body)"
+        raise RequestInvalidError(f"body: {path}: {first['msg']}") from error
+    except ValueError as error:
+        raise RequestInvalidError(f"the body is no JSON: {error}") from error
+    if chat and not body.messages:
+        raise RequestInvalidError("body: messages: a chat needs messages")
+    if not chat and not body.prompt:
+        raise RequestInvalidError("body: prompt: a completion needs a prompt")
+    return body
+
+
+def _model_call(body: CompletionBody, service: Service) -> ModelCall:
+    text = body.prompt or "\n".join(str(m.get("content", "")) for m in body.messages)
+    tokens = max(1, int(len(text.encode()) / service.bytes_per_token))
+    return ModelCall(
+        prompt=text,
+        messages=tuple(body.messages),
+        options=dict(body.model_extra or {}),
+        max_tokens=body.max_tokens,
+        tokens=tokens,
+    )
+
+
+def _plain_request(request: Request, body: bytes) -> PlainRequest:
+    key = request.headers.get(KEY_HEADER)
+    if key is not None and not 0 < len(key) <= MAX_KEY_CHARS:
+        raise RequestInvalidError(f"Idempotency-Key is over {MAX_KEY_CHARS} characters")
+    path = request.path_params["path"]
+    content = b"\0".join((request.method.encode(), path.encode(), body))
+    return PlainRequest(
+        method=request.method,
+        path=path,
+        content_type=request.headers.get("content-type", "application/json"),
+        body=body,
+        key=key,
+        digest=hashlib.sha256(content).hexdigest(),
+    )
+
+
+def _allowed_s(request: Request) -> float | None:
+    text = request.headers.get(ALLOWED_TIME_HEADER)
+    if text is None:
+        return None
+    try:
+        allowed_s = float(text)
+    except ValueError as error:
+        raise RequestInvalidError(
+            f'{ALLOWED_TIME_HEADER} "{text}" is no number'
+        ) from error
+    if not 0 < allowed_s < float("inf"):
+        raise RequestInvalidError(f'{ALLOWED_TIME_HEADER} "{text}" is not above zero')
+    return allowed_s
+
+
+def _digest(account: AccountId, body: bytes) -> str:
+    return hashlib.sha256(account.encode() + b"\0" + body).hexdigest()
--- /dev/null
+++ b/src/foxtailsaddle/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from ._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/foxtailsaddle/cli/_serve.py
@@ -0,0 +1,68 @@
+"""The serve command: builds the environment and runs the application."""
+
+import random
+import signal
+
+import trio
+
+from .. import adapters
+from ..app import Application, Environment, new_incarnation
+from ..core import SettingsFile
+from ..errors import FoxtailsaddleError
+
+
+def serve(config: str, log_level: str) -> None:
+    """Run one entry instance until SIGTERM or SIGINT.
+
+    :raises FoxtailsaddleError: the settings are invalid or a port is in use.
+    """
+    settings_file = adapters.read_settings_file(config)
+    adapters.set_up_logging(log_level, settings_file.instance.id)
+    try:
+        trio.run(_run, settings_file, strict_exception_groups=True)
+    except* FoxtailsaddleError as group:
+        first: BaseException = group
+        while isinstance(first, BaseExceptionGroup):
+            first = first.exceptions[0]
+        error = first
+    else:
+        return
+    raise error
+
+
+async def _run(settings_file: SettingsFile) -> None:
+    env = _environment(settings_file)
+    tree = settings_file.tree.model_dump(
+        mode="json", exclude_defaults=True, exclude_none=True
+    )
+    app = Application(env, tree)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_drain_on_signal, app)
+        await app.run()
+        nursery.cancel_scope.cancel()
+
+
+async def _drain_on_signal(app: Application) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            app.drain()
+
+
+def _environment(settings_file: SettingsFile) -> Environment:
+    settings = settings_file.instance
+    clock = adapters.SystemClock()
+    rng = random.Random()
+    client = adapters.HttpcoreClient()
+    peers = settings.peers
+    return Environment(
+        settings=settings,
+        incarnation=new_incarnation(clock.wall_ms(), rng),
+        clock=clock,
+        platform=adapters.HttpPlatform(client, settings.platform_url),
+        models=adapters.HttpModelEndpoints(client),
+        plain=adapters.HttpPlainEndpoints(client),
+        links=adapters.TcpPeerLinks(settings.id, peers.host, peers.port),
+        metrics=adapters.Metrics(),
+        tracer=adapters.new_tracer(settings.id, settings.trace_otlp_url),
+        random=rng,
+    )
--- /dev/null
+++ b/src/foxtailsaddle/core/__init__.py
@@ -0,0 +1,82 @@
+"""Decisions of the serving layer: no I/O, no clock, no randomness of its own."""
+
+from ..verdicts import Verdict
+from ._crashes import CrashGuard
+from ._ids import (
+    AccountId,
+    AttemptId,
+    DataCentre,
+    EndpointId,
+    InstanceId,
+    ServiceId,
+)
+from ._ledger import Entry, EntryState, Finding, Outcome, closing, find
+from ._limits import Allowance, Bucket, HomeLimits
+from ._liveness import Liveness
+from ._members import Member, Members, MemberState
+from ._ownership import owner_of
+from ._reaping import orphans
+from ._retries import RetryBudget, may_retry
+from ._revisions import Revision, RevisionLog, patched, read_tree
+from ._routing import Book, Placement, Quote, best, rank_of
+from ._settings import (
+    Account,
+    Endpoint,
+    InstanceSettings,
+    Listen,
+    OrderCheck,
+    Policy,
+    Service,
+    ServiceKind,
+    SettingsFile,
+    Tree,
+    read_model,
+)
+
+__all__ = [
+    "Account",
+    "AccountId",
+    "Allowance",
+    "AttemptId",
+    "Book",
+    "Bucket",
+    "CrashGuard",
+    "DataCentre",
+    "Endpoint",
+    "EndpointId",
+    "Entry",
+    "EntryState",
+    "Finding",
+    "HomeLimits",
+    "InstanceId",
+    "InstanceSettings",
+    "Listen",
+    "Liveness",
+    "Member",
+    "MemberState",
+    "Members",
+    "OrderCheck",
+    "Outcome",
+    "Placement",
+    "Policy",
+    "Quote",
+    "RetryBudget",
+    "Revision",
+    "RevisionLog",
+    "Service",
+    "ServiceId",
+    "ServiceKind",
+    "SettingsFile",
+    "Tree",
+    "Verdict",
+    "best",
+    "closing",
+    "find",
+    "may_retry",
+    "orphans",
+    "owner_of",
+    "patched",
+    "rank_of",
+    "read_model",
+    "read_tree",
+]
--- /dev/null
+++ b/src/foxtailsaddle/core/_settings.py
@@ -0,0 +1,273 @@
+"""The tree of settings: base, client account, service.
+
+Each level inherits from its parent and overrides only what differs.
+"""
+
+import typing as t
+from enum import Enum
+
+import pydantic
+
+from ..errors import NotFoundError, SettingsError
+from ._ids import AccountId, DataCentre, EndpointId, ServiceId
+
+
+class StrictModel(pydantic.BaseModel):
+    """Refuses unknown keys, and can't be changed after it was read."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Policy(StrictModel):
+    """What one client account may do with one service."""
+
+    allowed_time_s: float = pydantic.Field(
+        60, gt=0, description="Allowed time when the caller names none, in seconds."
+    )
+    max_allowed_time_s: float = pydantic.Field(
+        600, gt=0, description="Longest time a caller may ask for, in seconds."
+    )
+    max_body_bytes: int = pydantic.Field(
+        8_000_000, gt=0, description="Longest request body, in bytes."
+    )
+    max_output_tokens: int = pydantic.Field(
+        4096, gt=0, description="Most tokens in one answer."
+    )
+    max_attempts: int = pydantic.Field(
+        4, ge=1, description="Most attempts at one request."
+    )
+    requests_per_s: float = pydantic.Field(
+        1000, gt=0, description="Admitted requests per second, over all instances."
+    )
+    tokens_per_s: float = pydantic.Field(
+        10_000_000, gt=0, description="Admitted tokens per second, over all instances."
+    )
+    max_concurrent: int = pydantic.Field(
+        1000, gt=0, description="Requests at the same time at one instance."
+    )
+    stall_s: float = pydantic.Field(
+        3,
+        gt=0,
+        description="Longest silence on a stream before it is asked after, in seconds.",
+    )
+
+
+PolicyOverrides = pydantic.create_model(
+    "PolicyOverrides",
+    __base__=StrictModel,
+    **{
+        name: (field.annotation | None, None)
+        for name, field in Policy.model_fields.items()
+    },
+)
+
+
+class ServiceKind(Enum):
+    """What stands behind a service."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+class OrderCheck(Enum):
+    """Whether an endpoint refuses an order with an old fencing number."""
+
+    CHECKED = "checked"
+    UNCHECKED = "unchecked"
+
+
+class Endpoint(StrictModel):
+    """Where one endpoint listens and what it can hold."""
+
+    url: str = pydantic.Field(pattern=r"^http://[0-9.]+:\d+$")
+    data_centre: DataCentre = DataCentre("")
+    capacity_tokens: int = pydantic.Field(
+        400_000, gt=0, description="Tokens of KV cache that the endpoint can hold."
+    )
+    prefill_tokens_per_s: float = pydantic.Field(
+        20_000, gt=0, description="First guess of the prefill rate; then learnt."
+    )
+    withdrawn: bool = pydantic.Field(
+        False, description="True keeps new work away from the endpoint."
+    )
+    orders: OrderCheck = OrderCheck.CHECKED
+
+
+class Service(StrictModel):
+    """A model or plain service and its endpoints, by id."""
+
+    kind: ServiceKind = ServiceKind.MODEL
+    bytes_per_token: float = pydantic.Field(
+        4, gt=0, description="Estimate of a prompt's tokens from its bytes."
+    )
+    repeatable: bool = pydantic.Field(
+        True, description="False: a call runs at most once, under its key."
+    )
+    outcome_path: str | None = pydantic.Field(
+        None, description="Path of a plain service that tells what an attempt did."
+    )
+    endpoints: dict[EndpointId, Endpoint] = {}
+
+
+class Account(StrictModel):
+    """A client account: hashes of its keys, and what it overrides."""
+
+    key_sha256: tuple[str, ...] = ()
+    policy: PolicyOverrides = PolicyOverrides()
+    services: dict[ServiceId, PolicyOverrides] = {}
+
+
+class Tree(StrictModel):
+    """All settings that are shared by every instance."""
+
+    base: PolicyOverrides = PolicyOverrides()
+    services: dict[ServiceId, Service] = {}
+    accounts: dict[AccountId, Account] = {}
+
+    @pydantic.model_validator(mode="after")
+    def _check_services_exist(self) -> t.Self:
+        for account_id, account in self.accounts.items():
+            for service_id in account.services:
+                if service_id not in self.services:
+                    raise ValueError(
+                        f'service "{service_id}" does not exist, '
+                        f'but client account "{account_id}" names it'
+                    )
+        return self
+
+    def max_body_bytes(self, account_id: AccountId) -> int:
+        """Return the longest body that the account may send to any service."""
+        account = self.accounts[account_id]
+        shared = account.policy.max_body_bytes or self.base.max_body_bytes
+        own = [item.max_body_bytes or 0 for item in account.services.values()]
+        return max([shared or Policy().max_body_bytes, *own])
+
+    def policy(self, account_id: AccountId, service_id: ServiceId) -> Policy:
+        """Return the effective policy of an account at a service."""
+        items = self.explain(account_id, service_id)
+        return Policy(**{item.name: item.value for item in items})
+
+    def explain(
+        self, account_id: AccountId, service_id: ServiceId
+    ) -> list["EffectiveValue"]:
+        """Return each effective value and the level that set it.
+
+        :raises NotFoundError: the account or the service does not exist.
+        """
+        if account_id not in self.accounts:
+            raise NotFoundError(f'client account "{account_id}" does not exist')
+        if service_id not in self.services:
+            raise NotFoundError(f'service "{service_id}" does not exist')
+        account = self.accounts[account_id]
+        levels = {
+            "service": account.services.get(service_id, PolicyOverrides()),
+            "client account": account.policy,
+            "base": self.base,
+        }
+        return [
+            _effective(name, field.default, levels)
+            for name, field in Policy.model_fields.items()
+        ]
+
+
+class EffectiveValue(t.NamedTuple):
+    """One value of a policy and the level that set it."""
+
+    name: str
+    value: t.Any
+    level: str
+
+
+def _effective(name: str, default: t.Any, levels: dict[str, t.Any]) -> EffectiveValue:
+    for level, overrides in levels.items():
+        value = getattr(overrides, name)
+        if value is not None:
+            return EffectiveValue(name, value, level)
+    return EffectiveValue(name, default, "default")
+
+
+class Listen(StrictModel):
+    """An address to listen on."""
+
+    host: str = pydantic.Field("127.0.0.1", pattern=r"^[0-9.]+$")
+    port: int = pydantic.Field(gt=0, lt=65536)
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class InstanceSettings(StrictModel):
+    """What one process learns from its own file."""
+
+    id: str = pydantic.Field(pattern=r"^[a-z0-9.-]+$")
+    data_centre: DataCentre = DataCentre("")
+    callers: Listen = pydantic.Field(description="Where callers connect.")
+    operators: Listen = pydantic.Field(description="Where operators connect.")
+    peers: Listen = pydantic.Field(description="Where other instances connect.")
+    seed_peers: tuple[Listen, ...] = pydantic.Field(
+        (), description="Peers to ask first, for a start without the platform."
+    )
+    platform_url: str = pydantic.Field(pattern=r"^http://[0-9.]+:\d+$")
+    operator_key_sha256: dict[str, str] = pydantic.Field(
+        {}, description="Hash of each operator's key, by operator."
+    )
+    max_connections: int = pydantic.Field(
+        2000, gt=0, description="Most connections of callers at the same time."
+    )
+    heartbeat_s: float = pydantic.Field(
+        0.5, gt=0, description="Time between heartbeats to peers, in seconds."
+    )
+    gossip_fanout: int = pydantic.Field(
+        6, gt=0, description="Peers that get each heartbeat."
+    )
+    quote_fanout: int = pydantic.Field(
+        6, gt=0, description="Owners of endpoints that are asked per request."
+    )
+    quote_timeout_s: float = pydantic.Field(
+        0.02, gt=0, description="Longest wait for the owners' quotes, in seconds."
+    )
+    load_interval_s: float = pydantic.Field(
+        0.5, gt=0, description="Time between two load reports of an endpoint."
+    )
+    settings_interval_s: float = pydantic.Field(
+        2, gt=0, description="Time between two looks for a new revision."
+    )
+    confirm_bound_s: float = pydantic.Field(
+        8, gt=0, description="Longest time without a confirmed revision."
+    )
+    drain_s: float = pydantic.Field(
+        2, ge=0, description="Time between readiness falling and the listener closing."
+    )
+    leave_bound_s: float = pydantic.Field(
+        5, gt=0, description="Age past which word of an endpoint no longer counts."
+    )
+    reap_grace_s: float = pydantic.Field(
+        2, ge=0, description="Time past its deadline before an orphan is cancelled."
+    )
+    slow_caller_s: float = pydantic.Field(
+        15, gt=0, description="Longest wait for a caller to send or take bytes."
+    )
+    trace_otlp_url: str | None = pydantic.Field(
+        None, description="Where spans go; without it they are logged as JSON lines."
+    )
+
+
+class SettingsFile(StrictModel):
+    """One YAML file: the process's own part, and the first tree."""
+
+    instance: InstanceSettings
+    tree: Tree = Tree()
+
+
+def read_model(model: type[StrictModel], data: t.Any, source: str) -> t.Any:
+    """Validate ``data`` against ``model``.
+
+    :param source: name of the file or change, used in the error.
+    :raises SettingsError: names the source, the path and the reason.
+    """
+    try:
+        return model.model_validate(data)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        path = ".".join(map(str, first["loc"])) or "(top)"
+        raise SettingsError(f"{source}: {path}: {first['msg']}") from error
--- /dev/null
+++ b/src/foxtailsaddle/ports/_endpoints.py
@@ -0,0 +1,135 @@
+"""Ports to model engines and plain services."""
+
+import contextlib
+import dataclasses
+import typing as t
+from enum import Enum
+
+from ..core import AttemptId, Verdict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelJob:
+    """What an engine is asked to generate.
+
+    :param prompt: the text; for a chat, its messages' texts for the estimate.
+    :param messages: the messages of a chat, else empty.
+    :param options: sampling options, passed on as they came.
+    :param resume_from: tokens that the caller already has.
+    :param resume_text: the text of those tokens.
+    :param priority: lower runs first.
+    :param salt: keeps cached prefixes of client accounts apart.
+    """
+
+    model: str
+    prompt: str
+    messages: tuple[dict[str, t.Any], ...]
+    options: t.Mapping[str, t.Any]
+    max_tokens: int
+    priority: float
+    salt: str
+    resume_from: int = 0
+    resume_text: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenEvent:
+    """One token of a stream, or its end when ``finish_reason`` is set."""
+
+    offset: int
+    text: str
+    finish_reason: str | None = None
+
+
+class AttemptState(Enum):
+    """What an engine says of an attempt that it is asked after."""
+
+    RUNNING = "running"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """An engine's own, lagging, report.
+
+    :param remaining_by_attempt: prefill tokens left, of every held attempt.
+    :param age_s: age of the report when it was sent, in seconds.
+    """
+
+    incarnation: str
+    leaving: bool
+    remaining_by_attempt: dict[str, float]
+    held_tokens: int
+    age_s: float
+
+
+class ModelEndpoints(t.Protocol):
+    """Speaks to model engines."""
+
+    def stream(
+        self, url: str, attempt: AttemptId, job: ModelJob, stall_s: float
+    ) -> contextlib.AbstractAsyncContextManager[t.AsyncIterator[TokenEvent]]:
+        """Run or resume an attempt and iterate over its tokens.
+
+        :raises NothingSentError: the engine was not reached.
+        :raises EndpointFailedError: the engine refused or broke off; carries
+            the verdict.
+        """
+
+    async def state(self, url: str, attempt: AttemptId) -> AttemptState:
+        """Ask over a new connection what became of an attempt.
+
+        :raises FoxtailsaddleError: the engine did not answer.
+        """
+
+    async def cancel(self, url: str, attempt: str) -> None:
+        """Cancel an attempt and free its memory.
+
+        :raises FoxtailsaddleError: the engine did not answer.
+        """
+
+    async def load(self, url: str) -> LoadReport:
+        """Return the engine's report.
+
+        :raises FoxtailsaddleError: the engine did not answer.
+        """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlainCall:
+    """One call of a plain service."""
+
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    attempt: AttemptId
+    fresh: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlainAnswer:
+    """The answer of a plain service, passed on as it is."""
+
+    status: int
+    content_type: str
+    body: bytes
+    verdict: Verdict
+
+
+class PlainEndpoints(t.Protocol):
+    """Speaks to plain services."""
+
+    async def call(self, url: str, call: PlainCall, idle_s: float) -> PlainAnswer:
+        """Make one call.
+
+        :raises NothingSentError: no byte was written.
+        :raises ExchangeBrokenError: the call may have run.
+        """
+
+    async def health(self, url: str) -> tuple[str, bool]:
+        """Return the endpoint's incarnation and whether it is leaving.
+
+        :raises FoxtailsaddleError: the endpoint did not answer.
+        """
--- /dev/null
+++ b/src/foxtailsaddle/ports/_http.py
@@ -0,0 +1,49 @@
+"""The HTTP client port."""
+
+import contextlib
+import dataclasses
+import typing as t
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One request to an endpoint or to the platform.
+
+    :param connect_s: longest time to open a connection, in seconds.
+    :param idle_s: longest silence while writing or reading, in seconds.
+    :param fresh: use a new connection, not one that may have gone silent.
+    """
+
+    method: str
+    url: str
+    headers: t.Mapping[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    connect_s: float = 1.0
+    idle_s: float = 5.0
+    fresh: bool = False
+
+
+class HttpResponse(t.Protocol):
+    """A response whose body is still to be read."""
+
+    status: int
+    headers: t.Mapping[str, str]
+
+    def chunks(self) -> t.AsyncIterator[bytes]:
+        """Iterate over the body as it arrives."""
+
+    async def read(self) -> bytes:
+        """Return the whole body."""
+
+
+class HttpClient(t.Protocol):
+    """Sends requests and tells whether a failed one may have been written."""
+
+    def exchange(
+        self, request: HttpRequest
+    ) -> contextlib.AbstractAsyncContextManager[HttpResponse]:
+        """Send a request.
+
+        :raises NothingSentError: no byte of the request was written.
+        :raises ExchangeBrokenError: the request may have arrived.
+        """
--- /dev/null
+++ b/src/foxtailsaddle/ports/_peers.py
@@ -0,0 +1,188 @@
+"""Messages between instances, and the port that carries them."""
+
+import dataclasses
+import typing as t
+
+from ..core import EndpointId, InstanceId, Member
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointWord:
+    """Word of an endpoint, as old as ``age_s`` seconds."""
+
+    endpoint: str
+    incarnation: str
+    leaving: bool
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspicion:
+    """A request fingerprint that was in flight when an endpoint died."""
+
+    fingerprint: str
+    death: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Gossip: members, the newest settings, and word of endpoints.
+
+    :param platform_age_s: seconds since the sender read the settings' head from
+        the platform; negative when it never did.
+    """
+
+    members: tuple[Member, ...]
+    revision: int
+    platform_age_s: float
+    words: tuple[EndpointWord, ...]
+    suspicions: tuple[Suspicion, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuoteRequest:
+    """Asks an owner for its best endpoint for a prompt."""
+
+    service: str
+    tokens: int
+    held_tokens: int
+    waited_s: float
+    without: tuple[str, ...]
+    suspect: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuoteReply:
+    """The owner's best endpoint; an empty id when it has none."""
+
+    endpoint: str
+    wait_s: float
+    own_s: float
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """Tells an owner that a prompt was sent to its endpoint."""
+
+    endpoint: EndpointId
+    attempt: str
+    prompt_tokens: int
+    held_tokens: int
+    waited_s: float
+    left_s: float
+    suspect: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prefilled:
+    """Tells an owner that the first token has come."""
+
+    endpoint: EndpointId
+    attempt: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Released:
+    """Tells an owner that an attempt has ended."""
+
+    endpoint: EndpointId
+    attempt: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantRequest:
+    """Asks an account's home to admit one request."""
+
+    key: str
+    tokens: float
+    requests_per_s: float
+    tokens_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantReply:
+    """Zero when admitted, else the seconds to wait."""
+
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartRequest:
+    """Asks a fingerprint's home whether a copy of the request may run."""
+
+    fingerprint: str
+    request: str
+    left_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartReply:
+    """Zero when the copy may run, else the seconds to wait.
+
+    :param deaths: endpoints that died while they ran the request.
+    """
+
+    wait_s: float
+    deaths: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """Tells a fingerprint's home that a copy has ended."""
+
+    fingerprint: str
+    request: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsRequest:
+    """Asks a peer for its whole settings when they are newer."""
+
+    newer_than: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsReply:
+    """A peer's settings as JSON text; empty when not newer."""
+
+    revision: int
+    document: str
+
+
+PeerMessage = (
+    Heartbeat
+    | QuoteRequest
+    | QuoteReply
+    | Placed
+    | Prefilled
+    | Released
+    | GrantRequest
+    | GrantReply
+    | StartRequest
+    | StartReply
+    | Ended
+    | Suspicion
+    | SettingsRequest
+    | SettingsReply
+)
+
+Ask = t.Callable[[InstanceId, PeerMessage], t.Awaitable[PeerMessage | None]]
+
+
+class PeerLinks(t.Protocol):
+    """Carries messages to other instances."""
+
+    async def run(self, answer: Ask) -> None:
+        """Serve links until cancelled.
+
+        :param answer: called for each message that comes in.
+        """
+
+    def tell(self, member: Member, message: PeerMessage) -> None:
+        """Send a message without waiting; it may be lost."""
+
+    async def ask(
+        self, member: Member, message: PeerMessage, timeout_s: float
+    ) -> PeerMessage | None:
+        """Send a message and return the reply, or ``None`` in time."""
--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,164 @@
+"""A caller: sends requests and keeps what it saw, for tables and histories."""
+
+import dataclasses
+import json
+import time
+import typing as t
+
+import httpcore
+import sseclient
+import trio
+
+from .fleet import CALLER_KEY
+
+
+@dataclasses.dataclass
+class Seen:
+    """What one request looked like from the caller's side.
+
+    :param code: "ok", a problem's code, or "cut" for an answer with no end.
+    """
+
+    request: str
+    status: int = 0
+    code: str = "cut"
+    verdict: str = ""
+    text: str = ""
+    first_s: float = 0.0
+    total_s: float = 0.0
+    retry_after_s: float | None = None
+    request_id: str = ""
+
+
+class Caller:
+    """Speaks the callers' interface of an instance."""
+
+    def __init__(self, key: str = CALLER_KEY) -> None:
+        self._key = key
+        self._pool = httpcore.AsyncConnectionPool(max_connections=500)
+
+    async def complete(
+        self,
+        url: str,
+        prompt: str,
+        max_tokens: int = 16,
+        allowed_s: float = 60.0,
+        model: str = "drafts",
+    ) -> Seen:
+        """Stream one completion to its end."""
+        body = {
+            "model": model,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        seen = Seen(prompt)
+        started = time.monotonic()
+        try:
+            with trio.move_on_after(allowed_s + 10):
+                await self._stream(url, body, allowed_s, seen, started)
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            seen.code = f"cut: {type(error).__name__}"
+        seen.total_s = time.monotonic() - started
+        return seen
+
+    async def call(
+        self,
+        url: str,
+        path: str,
+        body: bytes,
+        key: str | None = None,
+        allowed_s: float = 10.0,
+        service: str = "register",
+    ) -> Seen:
+        """Make one call of a plain service."""
+        headers = {**self._headers(allowed_s), "content-type": "application/json"}
+        if key is not None:
+            headers["idempotency-key"] = key
+        seen = Seen(body.decode())
+        started = time.monotonic()
+        try:
+            with trio.move_on_after(allowed_s + 10):
+                response = await self._pool.request(
+                    "POST",
+                    f"{url}/v1/services/{service}/{path}",
+                    headers=headers,
+                    content=body,
+                )
+                _take_head(response, seen)
+                _take_whole(response.content, seen)
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            seen.code = f"cut: {type(error).__name__}"
+        seen.total_s = time.monotonic() - started
+        return seen
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def _stream(
+        self,
+        url: str,
+        body: dict[str, t.Any],
+        allowed_s: float,
+        seen: Seen,
+        started: float,
+    ) -> None:
+        headers = {**self._headers(allowed_s), "content-type": "application/json"}
+        content = json.dumps(body).encode()
+        async with self._pool.stream(
+            "POST", f"{url}/v1/completions", headers=headers, content=content
+        ) as response:
+            _take_head(response, seen)
+            if response.status != 200:
+                _take_whole(await response.aread(), seen)
+                return
+            pending = b""
+            async for chunk in response.aiter_stream():
+                *blocks, pending = (pending + chunk).split(b"\n\n")
+                for block in blocks:
+                    _take_event(block, seen, started)
+
+    def _headers(self, allowed_s: float) -> dict[str, str]:
+        return {
+            "authorization": f"Bearer {self._key}",
+            "x-allowed-time-s": str(allowed_s),
+        }
+
+
+def _take_head(response: httpcore.Response, seen: Seen) -> None:
+    headers = {name.lower(): value.decode() for name, value in response.headers}
+    seen.status = response.status
+    seen.verdict = headers.get(b"x-verdict", "")
+    seen.request_id = headers.get(b"x-request-id", "")
+
+
+def _take_whole(content: bytes, seen: Seen) -> None:
+    seen.text = content.decode()
+    if seen.status == 200:
+        seen.code = "ok"
+        return
+    try:
+        _take_problem(json.loads(content), seen)
+    except ValueError:
+        seen.code = f"status {seen.status}"
+
+
+def _take_problem(problem: dict[str, t.Any], seen: Seen) -> None:
+    seen.code = problem["code"]
+    seen.verdict = problem["verdict"]
+    seen.retry_after_s = problem.get("retry_after_s")
+
+
+def _take_event(block: bytes, seen: Seen, started: float) -> None:
+    for event in sseclient.SSEClient(iter([block + b"\n\n"])).events():
+        if event.event == "error":
+            _take_problem(json.loads(event.data), seen)
+        elif event.data == "[DONE]":
+            seen.code = "ok"
+            seen.verdict = "ran"
+        else:
+            text = json.loads(event.data)["choices"][0]["text"]
+            if text and not seen.text:
+                seen.first_s = time.monotonic() - started
+            seen.text += text
--- /dev/null
+++ b/standins/common.py
@@ -0,0 +1,81 @@
+"""What the stand-ins share: knobs, and serving over HTTP."""
+
+import dataclasses
+import json
+import typing as t
+
+import hypercorn.config
+import hypercorn.trio
+import trio
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+
+FOREVER_S = 1e9
+
+
+@dataclasses.dataclass
+class Knobs:
+    """Faults that every stand-in can be given.
+
+    :param latency_s: added to each answer.
+    :param frozen: nothing answers, though connections open.
+    :param lost_answers: so many coming calls take effect and are not answered.
+    """
+
+    latency_s: float = 0.0
+    frozen: bool = False
+    lost_answers: int = 0
+
+    def turn(self, values: dict[str, t.Any]) -> None:
+        """Set knobs by name."""
+        for name, value in values.items():
+            if not hasattr(self, name):
+                raise ValueError(f'knob "{name}" does not exist')
+            setattr(self, name, value)
+
+    async def before(self) -> None:
+        """Wait as the knobs say, before a call takes effect."""
+        if self.latency_s:
+            await trio.sleep(self.latency_s)
+        while self.frozen:
+            await trio.sleep(0.05)
+
+    async def after(self) -> None:
+        """Lose the answer, as the knobs say, after the call took effect."""
+        if self.lost_answers > 0:
+            self.lost_answers -= 1
+            await trio.sleep(FOREVER_S)
+
+
+async def read_json(request: Request) -> t.Any:
+    """Return the body as data."""
+    return json.loads(await request.body())
+
+
+def knob_endpoint(knobs: Knobs) -> t.Callable[[Request], t.Awaitable[Response]]:
+    """Return a handler that turns knobs."""
+
+    async def turn(request: Request) -> Response:
+        knobs.turn(await read_json(request))
+        return JSONResponse(dataclasses.asdict(knobs))
+
+    return turn
+
+
+def serve(
+    app: t.Any, host: str, port: int, *tasks: t.Callable[[], t.Awaitable[None]]
+) -> None:
+    """Run an ASGI application and its background tasks until stopped."""
+
+    async def main() -> None:
+        config = hypercorn.config.Config()
+        config.bind = [f"{host}:{port}"]
+        config.errorlog = None
+        config.keep_alive_timeout = 300
+        async with trio.open_nursery() as nursery:
+            for task in tasks:
+                nursery.start_soon(task)
+            await hypercorn.trio.serve(app, config, mode="asgi")
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,144 @@
+"""The stand-in model engine as an HTTP process."""
+
+import json
+import os
+import time
+import typing as t
+
+import fire
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from .common import knob_endpoint, read_json, serve
+from .engine_model import EngineModel
+
+REFUSED = {"x-not-run": "1"}
+
+
+class EngineApp:
+    """The engine's HTTP face: the completions convention and its own paths."""
+
+    def __init__(self, model: EngineModel) -> None:
+        self.model = model
+
+    def asgi(self) -> Starlette:
+        """Return the ASGI application."""
+        attempt = "/v1/attempts/{attempt}"
+        post = ["POST"]
+        return Starlette(
+            routes=[
+                Route("/v1/completions", self._complete, methods=post),
+                Route("/v1/chat/completions", self._complete, methods=post),
+                Route(attempt, self._state),
+                Route(attempt + "/cancel", self._cancel, methods=post),
+                Route("/kv/events", self._events),
+                Route("/kv/{name}", self._reserve, methods=["PUT"]),
+                Route("/load", self._load),
+                Route("/orders", self._order, methods=post),
+                Route("/leave", self._leave, methods=post),
+                Route("/knobs", knob_endpoint(self.model.knobs), methods=post),
+                Route("/book", self._book),
+            ]
+        )
+
+    async def _complete(self, request: Request) -> Response:
+        await self.model.knobs.before()
+        attempt = request.headers["x-request-id"]
+        known = attempt in self.model.by_attempt
+        if self.model.leaving and not known:
+            return JSONResponse({"error": "leaving"}, 503, headers=REFUSED)
+        body = await read_json(request)
+        chat = "messages" in body
+        prompt = body.get("prompt") or "\n".join(
+            str(message.get("content", "")) for message in body["messages"]
+        )
+        sequence = self.model.submit(attempt, prompt, body)
+        offset = int(body.get("resume_from", 0))
+        return StreamingResponse(
+            self._stream(sequence, offset, chat), media_type="text/event-stream"
+        )
+
+    async def _stream(
+        self, sequence: t.Any, offset: int, chat: bool
+    ) -> t.AsyncIterator[bytes]:
+        async for index, text in self.model.tokens(sequence, offset):
+            if index < 0:
+                yield b": waiting\n\n"
+                continue
+            frame = _frame(sequence.attempt, index, text, chat)
+            yield f"data: {json.dumps(frame)}\n\n".encode()
+            if text is None:
+                yield b"data: [DONE]\n\n"
+
+    async def _state(self, request: Request) -> Response:
+        await self.model.knobs.before()
+        state = self.model.state(request.path_params["attempt"])
+        if state is None:
+            return JSONResponse({"error": "unknown attempt"}, 404)
+        return JSONResponse({"state": state})
+
+    async def _cancel(self, request: Request) -> Response:
+        await self.model.knobs.before()
+        known = self.model.cancel(request.path_params["attempt"])
+        return JSONResponse({"known": known})
+
+    async def _reserve(self, request: Request) -> Response:
+        await self.model.knobs.before()
+        body = await read_json(request)
+        if not self.model.reserve(request.path_params["name"], body["tokens"]):
+            return JSONResponse({"error": "no room"}, 409)
+        return JSONResponse({"reserved": body["tokens"]})
+
+    async def _load(self, request: Request) -> Response:
+        await self.model.knobs.before()
+        return JSONResponse(self.model.load())
+
+    async def _events(self, request: Request) -> Response:
+        await self.model.knobs.before()
+        after = int(request.query_params.get("after", 0))
+        return JSONResponse({"events": self.model.events_after(after)})
+
+    async def _order(self, request: Request) -> Response:
+        await self.model.knobs.before()
+        if not self.model.order(await read_json(request)):
+            return JSONResponse({"error": "old fencing number"}, 409)
+        return JSONResponse({"number": self.model.order_number})
+
+    async def _leave(self, request: Request) -> Response:
+        self.model.leaving = True
+        return JSONResponse({"leaving": True})
+
+    async def _book(self, request: Request) -> Response:
+        model = self.model
+        return JSONResponse(
+            {
+                "ran": list(model.ran),
+                "held_tokens": model.held_tokens,
+                "held": list(model.by_attempt) + list(model.reserved_by_name),
+                "orders": model.orders,
+            }
+        )
+
+
+def _frame(attempt: str, offset: int, text: str | None, chat: bool) -> dict[str, t.Any]:
+    reason = "length" if text is None else None
+    content = text or ""
+    choice = {"delta": {"content": content}} if chat else {"text": content}
+    return {
+        "id": attempt,
+        "offset": offset,
+        "choices": [{"index": 0, "finish_reason": reason, **choice}],
+    }
+
+
+def main(port: int, host: str = "127.0.0.1", checks_orders: bool = True) -> None:
+    """Run one engine."""
+    incarnation = f"{time.time_ns():x}"
+    model = EngineModel(incarnation, lambda: os._exit(1), checks_orders=checks_orders)
+    serve(EngineApp(model).asgi(), host, port, model.run)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of foxtailsaddle."""
