Whole fleets in virtual time, and storms of faults with a history checker

Cause: the promises need proofs under failure that give the same verdict on every run. Change: an in-memory network behind the HTTP and peer ports, a world of instances and stand-ins on trio's mock clock, and storms from a seed. Found: a peer link could be told to send while its nursery closed (an instance killed in mid-request); links now stop taking messages first.

--- a/demo/demo.py
+++ b/demo/demo.py
@@ -1,12 +1,15 @@
 """Starts a small fleet, sends prompts of very unlike lengths, prints a table."""
 
+import json
 import os
 import pathlib
 import sys
 import time
+import urllib.request
 
 import trio
 
+from foxtailsaddle.adapters import HttpcoreClient
 from standins.caller import Caller, Seen
 from standins.engine_model import expected_answer
 from standins.fleet import CALLER_KEY, OPERATOR_KEY, Fleet
@@ -28,7 +31,8 @@
 
 async def send_all(fleet: Fleet) -> list[tuple[str, Seen, str]]:
     """Send the prompts and the sign-off at the same time."""
-    caller = Caller()
+    client = HttpcoreClient()
+    caller = Caller(client)
     rows: list[tuple[str, Seen, str]] = []
     urls = [fleet.by_name[name].url for name in fleet.instance_ports]
 
@@ -49,15 +53,12 @@
         for number, tokens in enumerate(LENGTHS_TOKENS):
             nursery.start_soon(prompt, number, tokens)
         nursery.start_soon(sign_off)
-    await caller.aclose()
+    await client.aclose()
     return rows
 
 
 async def _endpoint_of(fleet: Fleet, seen: Seen) -> str:
     """Ask the instance which endpoint served a request."""
-    import json
-    import urllib.request
-
     instance = seen.request_id.partition("~")[0]
     if instance not in fleet.instance_ports:
         return "-"
--- a/src/foxtailsaddle/adapters/_peer_links.py
+++ b/src/foxtailsaddle/adapters/_peer_links.py
@@ -46,7 +46,12 @@
             ) from error
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await trio.serve_listeners(self._serve, listeners, handler_nursery=nursery)
+            try:
+                await trio.serve_listeners(
+                    self._serve, listeners, handler_nursery=nursery
+                )
+            finally:
+                self._nursery = None
 
     def tell(self, member: Member, message: PeerMessage) -> None:
         """Send a message without waiting; it may be lost."""
--- a/src/foxtailsaddle/adapters/_telemetry.py
+++ b/src/foxtailsaddle/adapters/_telemetry.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+import typing as t
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from opentelemetry import trace
@@ -33,25 +34,36 @@
 
     def __init__(self) -> None:
         self._registry = Registry()
-        self.requests = Counter("requests_total", "Requests by outcome code.")
-        self.attempts = Counter("attempts_total", "Attempts by endpoint and result.")
-        self.ttft = Histogram(
+        self.requests = self._new(Counter, "requests_total", "Requests by code.")
+        self.attempts = self._new(
+            Counter, "attempts_total", "Attempts by endpoint and result."
+        )
+        self.ttft = self._new(
+            Histogram,
             "time_to_first_token_seconds",
             "Time to first token by prompt length.",
             buckets=list(TTFT_BUCKETS_S),
         )
-        self.in_flight = Gauge("requests_in_flight", "Requests being served.")
-        self.revision = Gauge("settings_revision", "Revision of settings in force.")
-        self.peers = Gauge("live_instances", "Live instances, this one included.")
-        self.orphans = Counter("orphans_cancelled_total", "Orphans cancelled.")
-        for metric in vars(self).copy().values():
-            if metric is not self._registry:
-                self._registry.register(metric)
+        self.in_flight = self._new(
+            Gauge, "requests_in_flight", "Requests being served."
+        )
+        self.revision = self._new(
+            Gauge, "settings_revision", "Revision of the settings in force."
+        )
+        self.peers = self._new(
+            Gauge, "live_instances", "Live instances, this one included."
+        )
+        self.orphans = self._new(
+            Counter, "orphans_cancelled_total", "Attempts cancelled for nobody."
+        )
 
     def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
         """Return the metrics page and its headers."""
         return render(self._registry, accept)
 
+    def _new(self, kind: type, name: str, doc: str, **options: t.Any) -> t.Any:
+        return kind(name, doc, registry=self._registry, **options)
+
 
 class LogSpanExporter(SpanExporter):
     """Writes each finished span as one JSON log line."""
--- a/src/foxtailsaddle/app/_application.py
+++ b/src/foxtailsaddle/app/_application.py
@@ -165,14 +165,14 @@
         config = _hypercorn_config(str(settings.callers), settings.slow_caller_s)
         config.graceful_timeout = graceful_s
         app = _BoundedConnections(self.web.asgi(), settings.max_connections)
-        await _serve(app, config, self._wait_until_drained)
+        await _serve(app, config, self.wait_until_drained)
 
     async def _serve_operators(self) -> None:
         settings = self.env.settings
         config = _hypercorn_config(str(settings.operators), settings.slow_caller_s)
         await _serve(self.operator_web.asgi(), config, trio.sleep_forever)
 
-    async def _wait_until_drained(self) -> None:
+    async def wait_until_drained(self) -> None:
         """Return once the listener may close; readiness has fallen before."""
         await self._draining.wait()
         logger.info("app: draining")
--- a/src/foxtailsaddle/app/_sinks.py
+++ b/src/foxtailsaddle/app/_sinks.py
@@ -32,9 +32,14 @@
     return body
 
 
-def problem(error: FoxtailsaddleError) -> Response:
-    """Return an error as a response."""
+def problem(error: FoxtailsaddleError, request_id: str = "") -> Response:
+    """Return an error as a response.
+
+    :param request_id: of an admitted request.
+    """
     headers = {"x-verdict": error.verdict.value}
+    if request_id:
+        headers["x-request-id"] = request_id
     if error.retry_after_s is not None:
         headers["retry-after"] = str(math.ceil(error.retry_after_s))
     return JSONResponse(
@@ -85,7 +90,7 @@
     async def _fail(
         self, error: FoxtailsaddleError, scope: Scope, receive: Receive
     ) -> None:
-        await problem(error)(scope, receive, self._send)
+        await problem(error, self._request_id)(scope, receive, self._send)
 
     async def _write(self, message: dict[str, t.Any]) -> None:
         """Send to the caller; one that takes nothing for long is cut."""
--- a/src/foxtailsaddle/app/_web.py
+++ b/src/foxtailsaddle/app/_web.py
@@ -163,8 +163,9 @@
         try:
             answer = await self._plain.call(trip, service, plain)
         except FoxtailsaddleError as error:
+            self._count(error.code)
             self._log_end(trip, error.code)
-            raise
+            return problem(error, trip.request_id)
         self._count("ok")
         self._log_end(trip, "ok")
         return Response(
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -2,13 +2,14 @@
 
 import dataclasses
 import json
-import time
 import typing as t
 
-import httpcore
 import sseclient
 import trio
 
+from foxtailsaddle.errors import ExchangeBrokenError, NothingSentError
+from foxtailsaddle.ports import HttpClient, HttpRequest, HttpResponse
+
 from .fleet import CALLER_KEY
 
 
@@ -20,6 +21,8 @@
     """
 
     request: str
+    key: str | None = None
+    allowed_s: float = 0.0
     status: int = 0
     code: str = "cut"
     verdict: str = ""
@@ -33,9 +36,9 @@
 class Caller:
     """Speaks the callers' interface of an instance."""
 
-    def __init__(self, key: str = CALLER_KEY) -> None:
+    def __init__(self, client: HttpClient, key: str = CALLER_KEY) -> None:
+        self._client = client
         self._key = key
-        self._pool = httpcore.AsyncConnectionPool(max_connections=500)
 
     async def complete(
         self,
@@ -52,14 +55,14 @@
             "max_tokens": max_tokens,
             "stream": True,
         }
-        seen = Seen(prompt)
-        started = time.monotonic()
+        seen = Seen(prompt, allowed_s=allowed_s)
+        started = trio.current_time()
         try:
             with trio.move_on_after(allowed_s + 10):
                 await self._stream(url, body, allowed_s, seen, started)
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            seen.code = f"cut: {type(error).__name__}"
-        seen.total_s = time.monotonic() - started
+        except (NothingSentError, ExchangeBrokenError) as error:
+            seen.code = f"cut: {error.message}"
+        seen.total_s = trio.current_time() - started
         return seen
 
     async def call(
@@ -75,27 +78,25 @@
         headers = {**self._headers(allowed_s), "content-type": "application/json"}
         if key is not None:
             headers["idempotency-key"] = key
-        seen = Seen(body.decode())
-        started = time.monotonic()
+        seen = Seen(body.decode(), key=key, allowed_s=allowed_s)
+        started = trio.current_time()
         try:
             with trio.move_on_after(allowed_s + 10):
-                response = await self._pool.request(
+                request = HttpRequest(
                     "POST",
                     f"{url}/v1/services/{service}/{path}",
                     headers=headers,
-                    content=body,
+                    body=body,
+                    idle_s=allowed_s + 10,
                 )
-                _take_head(response, seen)
-                _take_whole(response.content, seen)
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            seen.code = f"cut: {type(error).__name__}"
-        seen.total_s = time.monotonic() - started
+                async with self._client.exchange(request) as response:
+                    _take_head(response, seen)
+                    _take_whole(await response.read(), seen)
+        except (NothingSentError, ExchangeBrokenError) as error:
+            seen.code = f"cut: {error.message}"
+        seen.total_s = trio.current_time() - started
         return seen
 
-    async def aclose(self) -> None:
-        """Close all connections."""
-        await self._pool.aclose()
-
     async def _stream(
         self,
         url: str,
@@ -105,16 +106,20 @@
         started: float,
     ) -> None:
         headers = {**self._headers(allowed_s), "content-type": "application/json"}
-        content = json.dumps(body).encode()
-        async with self._pool.stream(
-            "POST", f"{url}/v1/completions", headers=headers, content=content
-        ) as response:
+        request = HttpRequest(
+            "POST",
+            f"{url}/v1/completions",
+            headers=headers,
+            body=json.dumps(body).encode(),
+            idle_s=allowed_s + 10,
+        )
+        async with self._client.exchange(request) as response:
             _take_head(response, seen)
             if response.status != 200:
-                _take_whole(await response.aread(), seen)
+                _take_whole(await response.read(), seen)
                 return
             pending = b""
-            async for chunk in response.aiter_stream():
+            async for chunk in response.chunks():
                 *blocks, pending = (pending + chunk).split(b"\n\n")
                 for block in blocks:
                     _take_event(block, seen, started)
@@ -126,11 +131,10 @@
         }
 
 
-def _take_head(response: httpcore.Response, seen: Seen) -> None:
-    headers = {name.lower(): value.decode() for name, value in response.headers}
+def _take_head(response: HttpResponse, seen: Seen) -> None:
     seen.status = response.status
-    seen.verdict = headers.get(b"x-verdict", "")
-    seen.request_id = headers.get(b"x-request-id", "")
+    seen.verdict = response.headers.get("x-verdict", "")
+    seen.request_id = response.headers.get("x-request-id", "")
 
 
 def _take_whole(content: bytes, seen: Seen) -> None:
@@ -160,5 +164,5 @@
         else:
             text = json.loads(event.data)["choices"][0]["text"]
             if text and not seen.text:
-                seen.first_s = time.monotonic() - started
+                seen.first_s = trio.current_time() - started
             seen.text += text
--- /dev/null
+++ b/standins/memory.py
@@ -0,0 +1,278 @@
+"""An in-memory network, so that whole fleets run in trio's virtual time.
+
+It carries the product's own HTTP and peer ports: what differs from a real
+network is only that bytes pass over memory channels.
+"""
+
+import contextlib
+import dataclasses
+import typing as t
+from urllib.parse import unquote, urlsplit
+
+import trio
+
+from foxtailsaddle.core import Member
+from foxtailsaddle.errors import ExchangeBrokenError, NothingSentError
+from foxtailsaddle.ports import Ask, HttpRequest, PeerMessage
+
+CHUNKS_IN_FLIGHT = 64
+WALL_START_MS = 1_800_000_000_000
+
+
+class VirtualClock:
+    """The clock port over trio's clock, virtual or not."""
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return trio.current_time()
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since 1970."""
+        return WALL_START_MS + int(trio.current_time() * 1000)
+
+
+@dataclasses.dataclass
+class Host:
+    """One process on the network."""
+
+    app: t.Any
+    nursery: trio.Nursery
+    listening: bool = True
+
+
+class Network:
+    """Hosts by address, and the pairs of them that are cut."""
+
+    def __init__(self, latency_s: float = 0.0005) -> None:
+        self.latency_s = latency_s
+        self.host_by_address: dict[str, Host] = {}
+        self.peer_by_address: dict[str, tuple[str, Ask]] = {}
+        self.cut: set[frozenset[str]] = set()
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Return whether nothing passes between two places."""
+        return frozenset((one, other)) in self.cut
+
+    def cut_off(self, one: str, others: t.Iterable[str]) -> None:
+        """Cut one place off from others."""
+        self.cut |= {frozenset((one, other)) for other in others}
+
+    def heal(self) -> None:
+        """Mend all cuts."""
+        self.cut.clear()
+
+
+class MemoryResponse:
+    """A response that arrives over a memory channel."""
+
+    def __init__(
+        self,
+        status: int,
+        headers: dict[str, str],
+        body: trio.MemoryReceiveChannel[bytes],
+        idle_s: float,
+        url: str,
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self._body = body
+        self._idle_s = idle_s
+        self._url = url
+
+    async def chunks(self) -> t.AsyncIterator[bytes]:
+        """Iterate over the body as it arrives."""
+        while True:
+            chunk = b""
+            with trio.move_on_after(self._idle_s) as scope:
+                try:
+                    chunk = await self._body.receive()
+                except trio.EndOfChannel:
+                    raise ExchangeBrokenError(f'"{self._url}" closed') from None
+            if scope.cancelled_caught:
+                raise ExchangeBrokenError(f'"{self._url}" went silent')
+            if chunk == b"":
+                return
+            yield chunk
+
+    async def read(self) -> bytes:
+        """Return the whole body."""
+        return b"".join([chunk async for chunk in self.chunks()])
+
+
+class MemoryHttpClient:
+    """The HTTP client port over the in-memory network.
+
+    :param place: name of the side that sends, for cuts.
+    """
+
+    def __init__(self, network: Network, place: str) -> None:
+        self._network = network
+        self._place = place
+        self.alive = True
+
+    @contextlib.asynccontextmanager
+    async def exchange(self, request: HttpRequest) -> t.AsyncIterator[MemoryResponse]:
+        """Send a request and hand out its response."""
+        while not self.alive:
+            await trio.sleep_forever()
+        parts = urlsplit(request.url)
+        if self._network.is_cut(self._place, parts.netloc):
+            await trio.sleep(request.connect_s)
+            raise NothingSentError(f'"{request.url}" is cut off')
+        await trio.sleep(self._network.latency_s)
+        host = self._network.host_by_address.get(parts.netloc)
+        if host is None or not host.listening:
+            raise NothingSentError(f'"{request.url}" refused', refused=True)
+        exchange = _Exchange(self._network, self._place, request, host)
+        try:
+            yield await exchange.open()
+        finally:
+            exchange.close()
+
+
+class _Exchange:
+    def __init__(
+        self, network: Network, place: str, request: HttpRequest, host: Host
+    ) -> None:
+        self._network = network
+        self._place = place
+        self._request = request
+        self._host = host
+        self._gone = trio.Event()
+        self._asked = False
+        self._started, self._start = trio.open_memory_channel[t.Any](1)
+        self._body_in, self._body = trio.open_memory_channel[bytes](CHUNKS_IN_FLIGHT)
+
+    async def open(self) -> MemoryResponse:
+        self._host.nursery.start_soon(self._run_app)
+        with trio.move_on_after(self._request.idle_s):
+            try:
+                message = await self._start.receive()
+            except trio.EndOfChannel:
+                raise ExchangeBrokenError(f'"{self._request.url}" closed') from None
+            headers = {
+                name.decode().lower(): value.decode()
+                for name, value in message.get("headers", [])
+            }
+            return MemoryResponse(
+                message["status"],
+                headers,
+                self._body,
+                self._request.idle_s,
+                self._request.url,
+            )
+        raise ExchangeBrokenError(f'"{self._request.url}" went silent')
+
+    def close(self) -> None:
+        self._gone.set()
+
+    async def _run_app(self) -> None:
+        try:
+            await self._host.app(self._scope(), self._receive, self._send)
+        except Exception as error:
+            if not isinstance(error, trio.BrokenResourceError):
+                raise
+        finally:
+            self._started.close()
+            self._body_in.close()
+
+    def _scope(self) -> dict[str, t.Any]:
+        parts = urlsplit(self._request.url)
+        headers = {
+            "host": parts.netloc,
+            "content-length": str(len(self._request.body)),
+            **self._request.headers,
+        }
+        return {
+            "type": "http",
+            "asgi": {"version": "3.0", "spec_version": "2.3"},
+            "http_version": "1.1",
+            "method": self._request.method,
+            "scheme": "http",
+            "path": unquote(parts.path),
+            "raw_path": parts.path.encode(),
+            "query_string": parts.query.encode(),
+            "root_path": "",
+            "headers": [(k.encode(), v.encode()) for k, v in headers.items()],
+            "server": (parts.hostname, parts.port),
+        }
+
+    async def _receive(self) -> dict[str, t.Any]:
+        if self._asked:
+            await self._gone.wait()
+            return {"type": "http.disconnect"}
+        self._asked = True
+        return {
+            "type": "http.request",
+            "body": self._request.body,
+            "more_body": False,
+        }
+
+    async def _send(self, message: dict[str, t.Any]) -> None:
+        netloc = urlsplit(self._request.url).netloc
+        while self._network.is_cut(self._place, netloc):
+            await trio.sleep(0.05)
+        if self._gone.is_set():
+            return
+        if message["type"] == "http.response.start":
+            await self._started.send(message)
+            return
+        body = message.get("body", b"")
+        if body:
+            await self._put(body)
+        if not message.get("more_body", False):
+            await self._put(b"")
+
+    async def _put(self, chunk: bytes) -> None:
+        """Hand a chunk over, unless the other side has gone meanwhile."""
+        while not self._gone.is_set():
+            with trio.move_on_after(1):
+                await self._body_in.send(chunk)
+                return
+
+
+class MemoryPeerLinks:
+    """The peer port over the in-memory network."""
+
+    def __init__(self, network: Network, own_id: str, address: str) -> None:
+        self._network = network
+        self._own_id = own_id
+        self._address = address
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, answer: Ask) -> None:
+        """Answer peers until cancelled."""
+        self._network.peer_by_address[self._address] = (self._own_id, answer)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._nursery = None
+                del self._network.peer_by_address[self._address]
+
+    def tell(self, member: Member, message: PeerMessage) -> None:
+        """Send a message without waiting."""
+        if self._nursery is not None:
+            self._nursery.start_soon(self._deliver, member.address, message)
+
+    async def ask(
+        self, member: Member, message: PeerMessage, timeout_s: float
+    ) -> PeerMessage | None:
+        """Send a message and return the reply, or ``None`` in time."""
+        with trio.move_on_after(timeout_s):
+            reply = await self._deliver(member.address, message)
+            if reply is not None:
+                return reply
+            await trio.sleep_forever()
+        return None
+
+    async def _deliver(self, address: str, message: PeerMessage) -> PeerMessage | None:
+        await trio.sleep(self._network.latency_s)
+        found = self._network.peer_by_address.get(address)
+        if found is None or self._network.is_cut(self._address, address):
+            return None
+        _, answer = found
+        reply = await answer(self._own_id, message)
+        await trio.sleep(self._network.latency_s)
+        return reply
--- /dev/null
+++ b/standins/world.py
@@ -0,0 +1,256 @@
+"""A whole fleet in one process and in virtual time."""
+
+import dataclasses
+import random
+import typing as t
+
+import trio
+import trio.testing
+from opentelemetry import trace
+
+from foxtailsaddle import adapters
+from foxtailsaddle.app import Application, Environment, new_incarnation
+from foxtailsaddle.core import InstanceSettings, Tree
+
+from .caller import Caller
+from .engine import EngineApp
+from .engine_model import EngineModel
+from .fleet import CALLER_KEY, DATA_CENTRES, OPERATOR_KEY, sha256
+from .memory import Host, MemoryHttpClient, MemoryPeerLinks, Network, VirtualClock
+from .plain import PlainApp, PlainModel
+from .platform import PlatformApp, PlatformModel
+
+PLATFORM = "10.0.0.1:80"
+PORT_CALLERS, PORT_PEERS, PORT_OPERATORS = 80, 81, 82
+SETTLE_S = 3.0
+
+Scenario = t.Callable[["World"], t.Awaitable[None]]
+
+
+@dataclasses.dataclass
+class _Running:
+    application: Application
+    client: MemoryHttpClient
+    scope: trio.CancelScope
+
+
+class World:
+    """Instances, engines and plain services by name, on one network.
+
+    :param seed: of every random choice.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        instances: int = 3,
+        engines: int = 4,
+        plains: int = 1,
+        seed: int = 1,
+        tree: dict[str, t.Any] | None = None,
+        instance: dict[str, t.Any] | None = None,
+        latency_s: float = 0.0005,
+        capacity_tokens: int = 400_000,
+    ) -> None:
+        self._nursery = nursery
+        self._random = random.Random(seed)
+        self._instance_overrides = instance or {}
+        self._capacity_tokens = capacity_tokens
+        self.network = Network(latency_s)
+        self.platform = PlatformModel()
+        self.engine_by_name: dict[str, EngineModel] = {}
+        self.plain_by_name: dict[str, PlainModel] = {}
+        self.retired: list[EngineModel | PlainModel] = []
+        self._running_by_name: dict[str, _Running] = {}
+        self._scope_by_name: dict[str, trio.CancelScope] = {}
+        self._names = [f"i{number + 1}" for number in range(instances)]
+        self.engine_names = [f"e{number + 1}" for number in range(engines)]
+        self.plain_names = [f"p{number + 1}" for number in range(plains)]
+        self.tree = self._tree(tree or {})
+
+    async def start(self) -> None:
+        """Start everything and wait until the instances know each other."""
+        self._add_host(PLATFORM, PlatformApp(self.platform).asgi(), self._nursery)
+        for name in self.engine_names:
+            self.start_engine(name)
+        for name in self.plain_names:
+            self.start_plain(name)
+        for name in self._names:
+            self.start_instance(name)
+        await trio.sleep(SETTLE_S)
+
+    @property
+    def instances(self) -> list[str]:
+        """Names of the running instances."""
+        return list(self._running_by_name)
+
+    def app(self, name: str) -> Application:
+        """Return a running instance's application."""
+        return self._running_by_name[name].application
+
+    def start_engine(self, name: str) -> None:
+        """Start an engine, or start it again with empty memory."""
+        incarnation = f"{trio.current_time():012.3f}"
+        model = EngineModel(incarnation, lambda: self.kill(name), self._capacity_tokens)
+        if name in self.engine_by_name:
+            self.retired.append(self.engine_by_name[name])
+        self.engine_by_name[name] = model
+        app = EngineApp(model).asgi()
+        self._nursery.start_soon(self._run_host, name, app, model.run)
+
+    def start_plain(self, name: str) -> None:
+        """Start a plain service; its book of the past is kept."""
+        incarnation = f"{trio.current_time():012.3f}"
+        model = PlainModel(incarnation, lambda: self.kill(name))
+        if name in self.plain_by_name:
+            self.retired.append(self.plain_by_name[name])
+        self.plain_by_name[name] = model
+        app = PlainApp(model).asgi()
+        self._nursery.start_soon(self._run_host, name, app, trio.sleep_forever)
+
+    def start_instance(self, name: str, platform: bool = True) -> None:
+        """Start an entry instance."""
+        settings = InstanceSettings.model_validate(self._instance_settings(name))
+        client = MemoryHttpClient(self.network, name)
+        clock = VirtualClock()
+        rng = random.Random(self._random.getrandbits(32))
+        env = Environment(
+            settings=settings,
+            incarnation=new_incarnation(clock.wall_ms(), rng),
+            clock=clock,
+            platform=adapters.HttpPlatform(client, f"http://{PLATFORM}"),
+            models=adapters.HttpModelEndpoints(client),
+            plain=adapters.HttpPlainEndpoints(client),
+            links=MemoryPeerLinks(self.network, name, str(settings.peers)),
+            metrics=adapters.Metrics(),
+            tracer=trace.NoOpTracer(),
+            random=rng,
+        )
+        application = Application(env, self.tree)
+        scope = trio.CancelScope()
+        self._running_by_name[name] = _Running(application, client, scope)
+        self._nursery.start_soon(self._run_instance, name, application, scope)
+
+    def kill(self, name: str) -> None:
+        """End an instance, engine or plain service without warning."""
+        running = self._running_by_name.pop(name, None)
+        if running is not None:
+            running.client.alive = False
+            running.scope.cancel()
+            return
+        self.network.host_by_address[self.address(name)].listening = False
+        self._scope_by_name[name].cancel()
+
+    def address(self, name: str, port: int = PORT_CALLERS) -> str:
+        """Return the address of anything that has a name."""
+        net = {"i": 1, "e": 2, "p": 3}[name[0]]
+        return f"10.0.{net}.{name[1:]}:{port}"
+
+    def url(self, name: str, port: int = PORT_CALLERS) -> str:
+        """Return the URL of anything that has a name."""
+        return f"http://{self.address(name, port)}"
+
+    def cut_off_instance(self, name: str, platform: bool = True) -> None:
+        """Cut an instance off from its peers, and from the platform."""
+        others = [self.address(o, PORT_PEERS) for o in self._names if o != name]
+        self.network.cut_off(self.address(name, PORT_PEERS), others)
+        if platform:
+            self.network.cut_off(name, [PLATFORM])
+
+    def caller(self, key: str = CALLER_KEY) -> Caller:
+        """Return a caller."""
+        return Caller(MemoryHttpClient(self.network, "caller"), key)
+
+    async def _run_host(
+        self, name: str, app: t.Any, task: t.Callable[[], t.Awaitable[None]]
+    ) -> None:
+        with trio.CancelScope() as scope:
+            self._scope_by_name[name] = scope
+            async with trio.open_nursery() as nursery:
+                self._add_host(self.address(name), app, nursery)
+                await task()
+
+    async def _run_instance(
+        self, name: str, application: Application, scope: trio.CancelScope
+    ) -> None:
+        """Run an instance without sockets: the network calls its ASGI faces."""
+        with scope:
+            async with trio.open_nursery() as background:
+                await application.start(background)
+                async with trio.open_nursery() as requests:
+                    callers = application.web.asgi()
+                    operators = application.operator_web.asgi()
+                    self._add_host(self.address(name), callers, requests)
+                    operators_at = self.address(name, PORT_OPERATORS)
+                    self._add_host(operators_at, operators, requests)
+                    try:
+                        await application.wait_until_drained()
+                    finally:
+                        for port in (PORT_CALLERS, PORT_OPERATORS):
+                            address = self.address(name, port)
+                            self.network.host_by_address[address].listening = False
+                await application.stop()
+                background.cancel_scope.cancel()
+        self._running_by_name.pop(name, None)
+
+    def _add_host(self, address: str, app: t.Any, nursery: trio.Nursery) -> None:
+        self.network.host_by_address[address] = Host(app, nursery)
+
+    def _instance_settings(self, name: str) -> dict[str, t.Any]:
+        number = self._names.index(name) if name in self._names else 0
+        host = f"10.0.1.{name[1:]}"
+        return {
+            "id": name,
+            "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
+            "callers": {"host": host, "port": PORT_CALLERS},
+            "operators": {"host": host, "port": PORT_OPERATORS},
+            "peers": {"host": host, "port": PORT_PEERS},
+            "platform_url": f"http://{PLATFORM}",
+            "operator_key_sha256": {"op": sha256(OPERATOR_KEY)},
+            "seed_peers": [
+                {"host": f"10.0.1.{other[1:]}", "port": PORT_PEERS}
+                for other in self._names
+                if other != name
+            ],
+            **self._instance_overrides,
+        }
+
+    def _tree(self, overrides: dict[str, t.Any]) -> dict[str, t.Any]:
+        tree = {
+            "services": {
+                "drafts": {
+                    "kind": "model",
+                    "endpoints": {
+                        name: {
+                            "url": self.url(name),
+                            "capacity_tokens": self._capacity_tokens,
+                        }
+                        for name in self.engine_names
+                    },
+                },
+                "register": {
+                    "kind": "plain",
+                    "repeatable": False,
+                    "endpoints": {
+                        name: {"url": self.url(name)} for name in self.plain_names
+                    },
+                },
+            },
+            "accounts": {"inspector": {"key_sha256": [sha256(CALLER_KEY)]}},
+            **overrides,
+        }
+        Tree.model_validate(tree)
+        return tree
+
+
+def run_world(scenario: Scenario, **options: t.Any) -> None:
+    """Run a scenario against a new world, in virtual time."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            world = World(nursery, **options)
+            await world.start()
+            await scenario(world)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- /dev/null
+++ b/tests/storm.py
@@ -0,0 +1,244 @@
+"""A storm: callers and faults in one virtual-time run, with its history.
+
+A plan is a list of steps; ``hypothesis`` or a seed makes it, and the same plan
+always gives the same run.
+"""
+
+import dataclasses
+import random
+import typing as t
+
+import trio
+
+from standins.caller import Seen
+from standins.world import World, run_world
+
+from . import history
+
+OUTPUT_TOKENS = 12
+ALLOWED_S = 20.0
+SETTLE_S = 8.0
+LONGEST_PROMPT_TOKENS = 60_000
+FAULT_S = (0.5, 2.0, 6.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """One step of a plan.
+
+    :param gap_s: time to wait before it.
+    :param pick: chooses among names, lengths and durations.
+    """
+
+    action: str
+    gap_s: float
+    pick: int
+
+
+@dataclasses.dataclass
+class Sent:
+    """A request and what came of it."""
+
+    instance: str
+    at: float
+    seen: Seen
+
+
+class Storm:
+    """Carries out a plan and checks every promise at its end."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._caller = world.caller()
+        self.completions: list[Sent] = []
+        self.calls: list[Sent] = []
+        self._kills: list[tuple[float, str]] = []
+        self._count = 0
+
+    async def run(self, plan: t.Sequence[Step]) -> None:
+        """Carry out the plan, let everything end, and check."""
+        async with trio.open_nursery() as nursery:
+            for step in plan:
+                await trio.sleep(step.gap_s)
+                await getattr(self, f"do_{step.action}")(nursery, step.pick)
+        self._world.network.heal()
+        self._world.platform.knobs.turn({"down": False, "latency_s": 0.0})
+        await trio.sleep(ALLOWED_S + SETTLE_S)
+        self.check()
+
+    def check(self) -> None:
+        """Check the history against every promise."""
+        survivors = [s for s in (*self.completions, *self.calls) if self._answered(s)]
+        completions = [s.seen for s in survivors if s in self.completions]
+        calls = [s.seen for s in survivors if s in self.calls]
+        history.check_in_time(completions + calls)
+        history.check_whole_and_own(completions, OUTPUT_TOKENS)
+        history.check_not_run_is_true(self._world, completions)
+        history.check_at_most_once(self._world)
+        history.check_answered_calls_ran(self._world, calls)
+        history.check_one_answer_per_key(calls)
+        history.check_no_memory_lost(self._world)
+
+    async def do_complete(self, nursery: trio.Nursery, pick: int) -> None:
+        """Send a prompt of some length."""
+        self._count += 1
+        tokens = 10 + pick * 7919 % LONGEST_PROMPT_TOKENS
+        prompt = f"prompt {self._count} " + "x" * (4 * tokens)
+        nursery.start_soon(self._complete, self._instance(pick), prompt)
+
+    async def do_sign_off(self, nursery: trio.Nursery, pick: int) -> None:
+        """Make a call that may run only once; two instances get it at times."""
+        self._count += 1
+        key = f"key-{self._count}"
+        body = f'{{"record": {self._count}}}'
+        nursery.start_soon(self._sign_off, self._instance(pick), body, key)
+        if pick % 3 == 0:
+            other = self._instance(pick + 1)
+            nursery.start_soon(self._sign_off, other, body, key)
+
+    async def do_kill_engine(self, nursery: trio.Nursery, pick: int) -> None:
+        """Kill an engine; it starts again later with empty memory."""
+        name = _choose(self._world.engine_names, pick)
+        self._kill(name)
+        nursery.start_soon(_later, _duration(pick), lambda: self._restart(name))
+
+    async def do_kill_plain(self, nursery: trio.Nursery, pick: int) -> None:
+        """Let a plain service die after its next call took effect."""
+        name = _choose(self._world.plain_names, pick)
+        self._world.plain_by_name[name].knobs.crash_after = 1
+        nursery.start_soon(self._restart_when_dead, name)
+
+    async def do_kill_instance(self, nursery: trio.Nursery, pick: int) -> None:
+        """Kill an instance; it starts again later, knowing nothing."""
+        if len(self._world.instances) > 1:
+            name = _choose(self._world.instances, pick)
+            self._kill(name)
+            nursery.start_soon(_later, _duration(pick), lambda: self._restart(name))
+
+    async def do_silence(self, nursery: trio.Nursery, pick: int) -> None:
+        """Let an engine's open streams go silent for good."""
+        name = _choose(self._world.engine_names, pick)
+        self._world.engine_by_name[name].knobs.silent += 1
+
+    async def do_freeze_engine(self, nursery: trio.Nursery, pick: int) -> None:
+        """Let an engine answer nothing for a while."""
+        name = _choose(self._world.engine_names, pick)
+        knobs = self._world.engine_by_name[name].knobs
+        knobs.frozen = True
+        nursery.start_soon(_later, _duration(pick), lambda: knobs.turn(THAWED))
+
+    async def do_cut(self, nursery: trio.Nursery, pick: int) -> None:
+        """Cut an instance off for a while, from its peers or all."""
+        name = _choose(self._world.instances, pick)
+        self._world.cut_off_instance(name, platform=pick % 2 == 0)
+        nursery.start_soon(_later, _duration(pick), self._world.network.heal)
+
+    async def do_platform_down(self, nursery: trio.Nursery, pick: int) -> None:
+        """Let the platform refuse everything for a while."""
+        knobs = self._world.platform.knobs
+        knobs.down = True
+        nursery.start_soon(_later, _duration(pick), lambda: knobs.turn(UP))
+
+    async def do_lose_answer(self, nursery: trio.Nursery, pick: int) -> None:
+        """Lose the answer of a write after it took effect, or make it late."""
+        knobs = self._world.platform.knobs
+        if pick % 2:
+            knobs.lost_answers = 1
+        else:
+            knobs.late_writes = 1
+
+    async def _complete(self, instance: str, prompt: str) -> None:
+        at = trio.current_time()
+        url = self._world.url(instance)
+        seen = await self._caller.complete(url, prompt, OUTPUT_TOKENS, ALLOWED_S)
+        self.completions.append(Sent(instance, at, seen))
+
+    async def _sign_off(self, instance: str, body: str, key: str) -> None:
+        """Send a call, and send it again while its outcome is not known."""
+        for _ in range(3):
+            at = trio.current_time()
+            url = self._world.url(instance)
+            seen = await self._caller.call(url, "sign", body.encode(), key, 5.0)
+            self.calls.append(Sent(instance, at, seen))
+            if seen.code == "ok":
+                return
+            await trio.sleep(seen.retry_after_s or 1.0)
+            instance = self._instance(len(self.calls))
+
+    def _kill(self, name: str) -> None:
+        self._kills.append((trio.current_time(), name))
+        self._world.kill(name)
+
+    async def _restart_when_dead(self, name: str) -> None:
+        address = self._world.address(name)
+        with trio.move_on_after(ALLOWED_S):
+            while self._world.network.host_by_address[address].listening:
+                await trio.sleep(0.1)
+        self._world.plain_by_name[name].knobs.crash_after = 0
+        if not self._world.network.host_by_address[address].listening:
+            self._restart(name)
+
+    def _restart(self, name: str) -> None:
+        if name in self._world.engine_names:
+            self._world.start_engine(name)
+        elif name in self._world.plain_names:
+            self._world.start_plain(name)
+        elif name not in self._world.instances:
+            self._world.start_instance(name)
+
+    def _instance(self, pick: int) -> str:
+        return _choose(self._world.instances, pick)
+
+    def _answered(self, sent: Sent) -> bool:
+        """Whether the instance that took the request could answer it."""
+        end = sent.at + sent.seen.total_s
+        killed = any(
+            name == sent.instance and sent.at <= at <= end + 0.01
+            for at, name in self._kills
+        )
+        return not killed and "refused" not in sent.seen.code
+
+
+THAWED = {"frozen": False}
+UP = {"down": False}
+ACTIONS = tuple(
+    name.removeprefix("do_") for name in vars(Storm) if name.startswith("do_")
+)
+FAULTS = tuple(name for name in ACTIONS if name not in ("complete", "sign_off"))
+
+
+def random_plan(seed: int, steps: int = 40, fault_share: float = 0.25) -> list[Step]:
+    """Return a plan made from a seed."""
+    rng = random.Random(seed)
+    return [
+        Step(
+            rng.choice(FAULTS)
+            if rng.random() < fault_share
+            else rng.choice(("complete", "sign_off")),
+            rng.choice((0.0, 0.05, 0.3, 1.0)),
+            rng.randrange(1000),
+        )
+        for _ in range(steps)
+    ]
+
+
+def run_plan(plan: t.Sequence[Step], seed: int = 1) -> None:
+    """Run a plan in a new world and check every promise."""
+
+    async def scenario(world: World) -> None:
+        await Storm(world).run(plan)
+
+    run_world(scenario, plains=2, seed=seed)
+
+
+def _choose(names: t.Sequence[str], pick: int) -> str:
+    return names[pick % len(names)]
+
+
+def _duration(pick: int) -> float:
+    return FAULT_S[pick % len(FAULT_S)]
+
+
+async def _later(delay_s: float, action: t.Callable[[], None]) -> None:
+    await trio.sleep(delay_s)
+    action()
