Planned stops end, slow callers are cut

Cause: at a planned stop an instance hung until its graceful timeout with 8 connections open. Looked into: idle connections that had served no stream were closed at once, so the server's own idle handling works; those that had streamed were not. The server reports a disconnect while the last body part is sent, our watcher cancelled the request then, and so the task that arms the connection's idle timeout. Ruled out: the graceful timeout itself, keep-alive. Change: a disconnect in the last write no longer cancels. Listening sockets are ours, with TCP_USER_TIMEOUT, because the server shields its writes, and only the kernel can cut a caller that takes nothing. Limits wait out waits of under 0.1 s, which a change of home causes.

--- a/src/foxtailsaddle/adapters/__init__.py
+++ b/src/foxtailsaddle/adapters/__init__.py
@@ -3,6 +3,7 @@
 from ._clock import SystemClock
 from ._endpoints_http import HttpModelEndpoints, HttpPlainEndpoints
 from ._http_client import HttpcoreClient
+from ._listeners import open_listener
 from ._peer_links import TcpPeerLinks
 from ._platform_http import HttpPlatform
 from ._settings_yaml import read_settings_file, read_yaml
@@ -18,6 +19,7 @@
     "TcpPeerLinks",
     "length_class",
     "new_tracer",
+    "open_listener",
     "read_settings_file",
     "read_yaml",
     "set_up_logging",
--- a/src/foxtailsaddle/adapters/_peer_links.py
+++ b/src/foxtailsaddle/adapters/_peer_links.py
@@ -6,9 +6,9 @@
 
 import trio
 
-from ..core import InstanceId, Member
-from ..errors import AddressInUseError
+from ..core import InstanceId, Listen, Member
 from ..ports import Ask, PeerMessage
+from ._listeners import open_listener
 from ._peer_codec import LENGTH_BYTES, MAX_MESSAGE_BYTES, Envelope, decode, encode
 
 logger = logging.getLogger("foxtailsaddle.peers")
@@ -25,10 +25,9 @@
     every link that is in use; the next message opens a new one.
     """
 
-    def __init__(self, own_id: InstanceId, host: str, port: int) -> None:
+    def __init__(self, own_id: InstanceId, listen: Listen) -> None:
         self._own_id = own_id
-        self._host = host
-        self._port = port
+        self._listen = listen
         self._numbers = itertools.count(1)
         self._outbox_by_address: dict[str, trio.MemorySendChannel[Envelope]] = {}
         self._waiting_by_number: dict[int, trio.MemorySendChannel[PeerMessage]] = {}
@@ -38,12 +37,8 @@
     async def run(self, answer: Ask) -> None:
         """Listen and serve links until cancelled."""
         self._answer = answer
-        try:
-            listeners = await trio.open_tcp_listeners(self._port, host=self._host)
-        except OSError as error:
-            raise AddressInUseError(
-                f'address "{self._host}:{self._port}" can\'t be listened on: {error}'
-            ) from error
+        sock = open_listener(self._listen, SILENCE_S)
+        listeners = [trio.SocketListener(trio.socket.from_stdlib_socket(sock))]
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             try:
--- a/src/foxtailsaddle/app/_application.py
+++ b/src/foxtailsaddle/app/_application.py
@@ -1,14 +1,15 @@
 """The application object: builds the parts and runs their life cycle."""
 
 import logging
+import socket
 import typing as t
 
 import hypercorn.config
 import hypercorn.trio
 import trio
 
+from ..adapters import open_listener
 from ..core import Liveness, Member, Members, MemberState
-from ..errors import AddressInUseError
 from ._attempts import AttemptRunner
 from ._environment import Environment
 from ._gateway import Gateway
@@ -45,7 +46,7 @@
         self.env = env
         self._first_tree = first_tree
         self._draining = trio.Event()
-        self._closing = trio.Event()
+        self._web_config = _hypercorn_config()
         suspect_s = SUSPECT_HEARTBEATS * env.settings.heartbeat_s
         self.members = Members(_own_member(env), suspect_s)
         self.liveness = Liveness(env.settings.leave_bound_s)
@@ -159,18 +160,15 @@
 
     async def _serve_callers(self) -> None:
         settings = self.env.settings
-        graceful_s = max(
-            [settings.slow_caller_s, *self._allowed_times_s()], default=0.0
-        )
-        config = _hypercorn_config(str(settings.callers), settings.slow_caller_s)
-        config.graceful_timeout = graceful_s
         app = _BoundedConnections(self.web.asgi(), settings.max_connections)
-        await _serve(app, config, self.wait_until_drained)
+        sock = open_listener(settings.callers, settings.slow_caller_s)
+        await _serve(app, self._web_config, sock, self.wait_until_drained)
 
     async def _serve_operators(self) -> None:
         settings = self.env.settings
-        config = _hypercorn_config(str(settings.operators), settings.slow_caller_s)
-        await _serve(self.operator_web.asgi(), config, trio.sleep_forever)
+        sock = open_listener(settings.operators, settings.slow_caller_s)
+        app = self.operator_web.asgi()
+        await _serve(app, _hypercorn_config(), sock, trio.sleep_forever)
 
     async def wait_until_drained(self) -> None:
         """Return once the listener may close; readiness has fallen before."""
@@ -178,6 +176,7 @@
         logger.info("app: draining")
         await self.peering.leave()
         await trio.sleep(self.env.settings.drain_s)
+        self._web_config.graceful_timeout = max(self._allowed_times_s())
 
     def _allowed_times_s(self) -> list[float]:
         tree = self.keeper.log.tree
@@ -213,9 +212,15 @@
             self._count -= 1
 
 
-def _hypercorn_config(bind: str, slow_s: float) -> hypercorn.config.Config:
+def _hypercorn_config() -> hypercorn.config.Config:
+    """Return the web server's settings.
+
+    Its read timeout would cut a caller that waits for a long answer, and its
+    default graceful timeout would cut what runs longer than 3 s at a planned
+    stop. Callers that send or take nothing are cut by the listening socket and
+    by the bound on reading a body.
+    """
     config = hypercorn.config.Config()
-    config.bind = [bind]
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.read_timeout = None
     config.errorlog = None
@@ -226,14 +231,11 @@
 async def _serve(
     app: t.Any,
     config: hypercorn.config.Config,
+    sock: socket.socket,
     until: t.Callable[[], t.Awaitable[None]],
 ) -> None:
-    try:
-        await hypercorn.trio.serve(app, config, mode="asgi", shutdown_trigger=until)
-    except OSError as error:
-        raise AddressInUseError(
-            f"address {config.bind} can't be listened on: {error}"
-        ) from error
+    config.bind = [f"fd://{sock.detach()}"]
+    await hypercorn.trio.serve(app, config, mode="asgi", shutdown_trigger=until)
 
 
 def _own_member(env: Environment) -> Member:
--- a/src/foxtailsaddle/app/_guards.py
+++ b/src/foxtailsaddle/app/_guards.py
@@ -1,5 +1,7 @@
 """Asks the homes of accounts and fingerprints whether a request may run."""
 
+import trio
+
 from ..core import (
     AccountId,
     Allowance,
@@ -23,6 +25,8 @@
 from ._environment import Environment
 
 HOME_TIMEOUT_S = 0.1
+SHORT_WAIT_S = 0.1
+MIN_WAIT_S = 0.005
 
 
 class LimitGuard:
@@ -40,7 +44,8 @@
     ) -> None:
         """Count one request against the account's limits.
 
-        While the home does not answer, this instance admits its even share.
+        While the home does not answer, this instance admits its even share. A
+        wait that is shorter than a caller's way back is waited out here.
 
         :raises LimitExceededError: with the seconds after which to come back.
         """
@@ -50,8 +55,12 @@
             requests_per_s=policy.requests_per_s,
             tokens_per_s=policy.tokens_per_s,
         )
-        wait_s = await self._ask_home(request)
-        if wait_s > 0:
+        give_up_at = self._env.clock.now() + SHORT_WAIT_S
+        while (wait_s := await self._ask_home(request)) > 0:
+            wait_s = max(wait_s, MIN_WAIT_S)
+            if self._env.clock.now() + wait_s <= give_up_at:
+                await trio.sleep(wait_s)
+                continue
             raise LimitExceededError(
                 f'client account "{account}" is over its limit at "{service}"',
                 retry_after_s=wait_s,
--- a/src/foxtailsaddle/app/_sinks.py
+++ b/src/foxtailsaddle/app/_sinks.py
@@ -75,15 +75,17 @@
         self._count = 0
         self._created = int(time.time())
         self._send: Send | None = None
+        self._ending = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve the request as an ASGI response."""
         self._send = send
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+            nursery.start_soon(self._watch_caller, receive, nursery.cancel_scope)
             try:
                 await self._serve(self)
             except FoxtailsaddleError as error:
+                self._ending = True
                 await self._fail(error, scope, receive)
             nursery.cancel_scope.cancel()
 
@@ -92,6 +94,18 @@
     ) -> None:
         await problem(error, self._request_id)(scope, receive, self._send)
 
+    async def _watch_caller(self, receive: Receive, scope: trio.CancelScope) -> None:
+        """Cancel the request when its caller goes away.
+
+        The server also reports a disconnect while the last body part is being
+        sent. Cancelling then would keep it from arming the connection's idle
+        timeout, and the connection would stay open for good.
+        """
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        if not self._ending:
+            scope.cancel()
+
     async def _write(self, message: dict[str, t.Any]) -> None:
         """Send to the caller; one that takes nothing for long is cut."""
         with trio.move_on_after(self._slow_s) as scope:
@@ -144,6 +158,7 @@
         if self._count == 0:
             await self._start("text/event-stream")
         await self._event(self._choice("", reason))
+        self._ending = True
         await self._body(DONE_EVENT, more=False)
 
     async def _fail(
@@ -195,11 +210,6 @@
             choice = {"text": text, "finish_reason": reason}
             frame = self._frame(choice, "text_completion")
         body = json.dumps({**frame, "usage": self._usage()}).encode()
+        self._ending = True
         await self._start("application/json")
         await self._write({"type": "http.response.body", "body": body})
-
-
-async def _cancel_on_disconnect(receive: Receive, scope: trio.CancelScope) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-    scope.cancel()
--- a/src/foxtailsaddle/app/_web.py
+++ b/src/foxtailsaddle/app/_web.py
@@ -112,8 +112,8 @@
         return problem(error)
 
     async def _completions(self, request: Request) -> t.Any:
-        account = self._authenticate(request)
         self._check_admitting()
+        account = self._authenticate(request)
         raw = await self._read_body(request, self._log.tree.max_body_bytes(account))
         chat = request.url.path.endswith("/chat/completions")
         body = _parse_completion(raw, chat)
@@ -150,8 +150,8 @@
         self._log_end(trip, "ok")
 
     async def _service(self, request: Request) -> Response:
-        account = self._authenticate(request)
         self._check_admitting()
+        account = self._authenticate(request)
         service_id = ServiceId(request.path_params["service"])
         service = self._gateway.service(service_id, ServiceKind.PLAIN)
         policy = self._log.tree.policy(account, service_id)
--- a/src/foxtailsaddle/cli/_serve.py
+++ b/src/foxtailsaddle/cli/_serve.py
@@ -53,7 +53,6 @@
     clock = adapters.SystemClock()
     rng = random.Random()
     client = adapters.HttpcoreClient()
-    peers = settings.peers
     return Environment(
         settings=settings,
         incarnation=new_incarnation(clock.wall_ms(), rng),
@@ -61,7 +60,7 @@
         platform=adapters.HttpPlatform(client, settings.platform_url),
         models=adapters.HttpModelEndpoints(client),
         plain=adapters.HttpPlainEndpoints(client),
-        links=adapters.TcpPeerLinks(settings.id, peers.host, peers.port),
+        links=adapters.TcpPeerLinks(settings.id, settings.peers),
         metrics=adapters.Metrics(),
         tracer=adapters.new_tracer(settings.id, settings.trace_otlp_url),
         random=rng,
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -138,14 +138,15 @@
 
 
 def _take_whole(content: bytes, seen: Seen) -> None:
-    seen.text = content.decode()
     if seen.status == 200:
         seen.code = "ok"
+        seen.text = content.decode()
         return
     try:
         _take_problem(json.loads(content), seen)
-    except ValueError:
+    except (ValueError, KeyError):
         seen.code = f"status {seen.status}"
+        seen.text = content.decode()
 
 
 def _take_problem(problem: dict[str, t.Any], seen: Seen) -> None:
