Start the stand-ins together; the binary needs its folder

Cause: make binary failed on a fresh clone because dist/ was missing, and each process test spent 3.9 s in start-up, one stand-in after another. Change: the folder is made; stand-ins start together.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 	$(BIN)/python -m demo.demo
 
 binary: $(STAMP)
-	$(BIN)/shiv -q -c foxtailsaddle -o dist/foxtailsaddle -p '/usr/bin/env python3' -- --quiet -c constraints.txt .
+	mkdir -p dist
+	$(BIN)/shiv -c foxtailsaddle -o dist/foxtailsaddle -p '/usr/bin/env python3' -- --quiet -c constraints.txt .
 
 bench: $(STAMP)
 	$(BIN)/python -m bench --plan bench/plans/mixed.yaml
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -110,6 +110,9 @@
             self.start_engine(name)
         for name in self.plain_ports:
             self.start_plain(name)
+        standins = (self.platform_port, *self.engine_ports.values())
+        for port in (*standins, *self.plain_ports.values()):
+            _wait_for_listener(port)
         for name in self.instance_ports:
             self.start_instance(name)
         for name in self.instance_ports:
@@ -205,11 +208,6 @@
     def _start_standin(self, name: str, module: str, port: int) -> None:
         command = [sys.executable, "-m", module, "--port", str(port)]
         self._start(name, command, port)
-        give_up_at = time.monotonic() + START_TIMEOUT_S
-        while not _listens(port):
-            if time.monotonic() > give_up_at:
-                raise TimeoutError(f'stand-in "{name}" did not start')
-            time.sleep(0.05)
 
     def _start(self, name: str, command: list[str], port: int) -> None:
         with (self._folder / f"{name}.log").open("ab") as log:
@@ -235,6 +233,14 @@
         return False
 
 
+def _wait_for_listener(port: int) -> None:
+    give_up_at = time.monotonic() + START_TIMEOUT_S
+    while not _listens(port):
+        if time.monotonic() > give_up_at:
+            raise TimeoutError(f"nothing listens on port {port}")
+        time.sleep(0.05)
+
+
 def _listens(port: int) -> bool:
     with socket.socket() as probe:
         probe.settimeout(0.5)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -24,8 +24,9 @@
 
 @pytest.fixture
 def fleet(tmp_path):
-    with Fleet(tmp_path, instance={"slow_caller_s": SLOW_S}) as running:
-        time.sleep(1.5)
+    instance = {"slow_caller_s": SLOW_S, "drain_s": 0.5}
+    with Fleet(tmp_path, instance=instance) as running:
+        time.sleep(1)
         yield running
 
 
