--- a/src/foxtailsaddle/adapters/__init__.py
+++ b/src/foxtailsaddle/adapters/__init__.py
@@ -4,6 +4,7 @@
 from ._endpoints_http import HttpModelEndpoints, HttpPlainEndpoints
 from ._http_client import HttpcoreClient
 from ._listeners import open_listener
+from ._operator_client import OperatorClient, RemoteError
 from ._peer_links import TcpPeerLinks
 from ._platform_http import HttpPlatform
 from ._settings_yaml import read_settings_file, read_yaml
@@ -15,6 +16,8 @@
     "HttpPlatform",
     "HttpcoreClient",
     "Metrics",
+    "OperatorClient",
+    "RemoteError",
     "SystemClock",
     "TcpPeerLinks",
     "length_class",
--- a/src/foxtailsaddle/adapters/peers.capnp
+++ b/src/foxtailsaddle/adapters/peers.capnp
@@ -82,6 +82,7 @@
   fingerprint @0 :Text;
   request @1 :Text;
   leftS @2 :Float64;
+  death @3 :Text;
 }
 
 struct StartReply {
@@ -92,6 +93,7 @@
 struct Ended {
   fingerprint @0 :Text;
   request @1 :Text;
+  whole @2 :Bool;
 }
 
 struct SettingsRequest {
--- a/src/foxtailsaddle/app/_application.py
+++ b/src/foxtailsaddle/app/_application.py
@@ -114,7 +114,7 @@
         return self.keeper.log.is_confirmed(self.env.clock.now())
 
     def _build(self, background: trio.Nursery) -> None:
-        runner = AttemptRunner(self.env, self.router, self.crashes, background)
+        runner = AttemptRunner(self.env, self.router, background)
         self.ledger = LedgerKeeper(self.env, background)
         self.gateway = Gateway(
             self.env,
--- a/src/foxtailsaddle/app/_attempts.py
+++ b/src/foxtailsaddle/app/_attempts.py
@@ -17,12 +17,12 @@
 from ..ports import AttemptState, ModelJob, Placed, TokenEvent
 from ..verdicts import Verdict
 from ._environment import Environment
-from ._guards import CrashWatch
 from ._router import Router
 from ._trip import MS_PER_S, Trip
 
 logger = logging.getLogger("foxtailsaddle.attempts")
 
+REATTACH_PAUSE_S = 0.1
 CANCEL_TRIES = 3
 CANCEL_PAUSE_S = 0.5
 NOMINAL_PREFILL_TOKENS_PER_S = 20_000
@@ -75,12 +75,10 @@
         self,
         env: Environment,
         router: Router,
-        crashes: CrashWatch,
         background: trio.Nursery,
     ) -> None:
         self._env = env
         self._router = router
-        self._crashes = crashes
         self._background = background
 
     async def run(
@@ -125,6 +123,8 @@
                 await self._ask_after(quote, url, trip, error)
             first = False
             idle = 0 if answer.count > before else idle + 1
+            if idle:
+                await trio.sleep(REATTACH_PAUSE_S)
             if idle > MAX_REATTACHES_WITHOUT_TOKEN:
                 raise _lost(quote.endpoint, "no token after many reattaches")
 
@@ -140,6 +140,7 @@
                 await self._take(event, quote.endpoint, call, trip, answer)
                 if answer.finished:
                     return
+        raise ExchangeBrokenError("the stream ended before the answer was whole")
 
     async def _take(
         self,
@@ -205,8 +206,7 @@
 
     def _suspect(self, quote: Quote, trip: Trip) -> None:
         trip.suspect = True
-        death = f"{quote.endpoint}/{quote.incarnation}"
-        self._crashes.suspect(trip.fingerprint, death)
+        trip.death = f"{quote.endpoint}/{quote.incarnation}"
         trip.note("suspected", f'endpoint "{quote.endpoint}" died under it')
 
     async def _cancel(self, url: str, attempt: AttemptId) -> None:
--- a/src/foxtailsaddle/app/_gateway.py
+++ b/src/foxtailsaddle/app/_gateway.py
@@ -88,10 +88,11 @@
         with self._env.tracer.start_as_current_span("request") as span:
             span.set_attribute("request", trip.request_id)
             span.set_attribute("tokens", call.tokens)
+            answer = Answer(sink)
             try:
                 with trio.fail_at(trip.deadline):
                     await self._admit(trip, call)
-                    await self._attempt_until_whole(trip, call, Answer(sink))
+                    await self._attempt_until_whole(trip, call, answer)
             except trio.TooSlowError as error:
                 raise DeadlineExceededError(
                     "the allowed time ended before the answer was whole",
@@ -99,7 +100,7 @@
                     verdict=trip.verdict,
                 ) from error
             finally:
-                self._crashes.end(trip.fingerprint, trip.request_id)
+                self._crashes.end(trip.fingerprint, trip.request_id, answer.finished)
                 self._desk.close(trip)
                 span.set_attribute("verdict", trip.verdict.value)
 
@@ -167,8 +168,9 @@
         """Wait until the crash watch lets this copy of the request run."""
         while True:
             reply = await self._crashes.start(
-                trip.fingerprint, trip.request_id, trip.left_s
+                trip.fingerprint, trip.request_id, trip.left_s, trip.death
             )
+            trip.death = ""
             trip.suspect = trip.suspect or reply.deaths > 0
             if not reply.wait_s:
                 return
--- a/src/foxtailsaddle/app/_guards.py
+++ b/src/foxtailsaddle/app/_guards.py
@@ -114,12 +114,17 @@
         self._members = members
         self._guard = CrashGuard()
 
-    async def start(self, fingerprint: str, request: str, left_s: float) -> StartReply:
+    async def start(
+        self, fingerprint: str, request: str, left_s: float, death: str = ""
+    ) -> StartReply:
         """Ask whether a copy of the request may run.
 
+        :param death: the endpoint's death that this copy has just met, if any.
+            It travels in the same message, so that it is counted first.
+
         :raises QuarantinedError: too many endpoints died under it.
         """
-        message = StartRequest(fingerprint, request, left_s)
+        message = StartRequest(fingerprint, request, left_s, death)
         home = self._home(fingerprint)
         reply = None
         if home != self._members.own.id:
@@ -138,24 +143,20 @@
         """Decide as the home of the fingerprint."""
         now = self._env.clock.now()
         until = now + message.left_s
+        if message.death:
+            self._guard.note_death(message.fingerprint, message.death, now)
         wait_s = self._guard.start(message.fingerprint, message.request, until, now)
         return StartReply(wait_s, self._guard.deaths(message.fingerprint, now))
 
-    def end(self, fingerprint: str, request: str) -> None:
+    def end(self, fingerprint: str, request: str, whole: bool) -> None:
         """Count a copy as ended, here and at the home."""
-        message = Ended(fingerprint, request)
+        message = Ended(fingerprint, request, whole)
         self.note_ended(message)
         self._tell_home(fingerprint, message)
 
     def note_ended(self, message: Ended) -> None:
         """Count a copy as ended."""
-        self._guard.end(message.fingerprint, message.request)
-
-    def suspect(self, fingerprint: str, death: str) -> None:
-        """Report the death of an endpoint that ran the request."""
-        message = Suspicion(fingerprint, death)
-        self.note_suspicion(message)
-        self._tell_home(fingerprint, message)
+        self._guard.end(message.fingerprint, message.request, message.whole)
 
     def note_suspicion(self, message: Suspicion) -> None:
         """Record a death that a peer reports."""
@@ -170,7 +171,7 @@
     def _home(self, fingerprint: str) -> InstanceId:
         return _home_of(f"crash:{fingerprint}", self._env, self._members)
 
-    def _tell_home(self, fingerprint: str, message: Ended | Suspicion) -> None:
+    def _tell_home(self, fingerprint: str, message: Ended) -> None:
         home = self._home(fingerprint)
         member = self._members.get(home)
         if home != self._members.own.id and member is not None:
--- a/src/foxtailsaddle/app/_ledger_keeper.py
+++ b/src/foxtailsaddle/app/_ledger_keeper.py
@@ -70,6 +70,14 @@
         :raises OutcomeUnknownError: an earlier call's outcome was lost.
         :raises PlatformUnavailableError: not claimed; the call was not sent.
         """
+        try:
+            return await self._claim(entry)
+        except trio.Cancelled:
+            # The insert may be on its way, and nobody will use it.
+            self._settle_later(entry, expected=0)
+            raise
+
+    async def _claim(self, entry: Entry) -> Claim:
         expected = 0
         for _ in range(CLAIM_TRIES):
             try:
--- a/src/foxtailsaddle/app/_settings_keeper.py
+++ b/src/foxtailsaddle/app/_settings_keeper.py
@@ -111,7 +111,7 @@
         bound_s = self._env.settings.confirm_bound_s
         if youngest <= bound_s:
             self.log.confirm(self.log.number, now - youngest)
-        elif self.platform_age_s > bound_s and self._members.hears_majority(now):
+        elif now - self._head_read_at > bound_s and self._members.hears_majority(now):
             self.log.confirm(self.log.number, now)
 
     async def heard(self, sender: str, beat: Heartbeat) -> None:
--- a/src/foxtailsaddle/app/_trip.py
+++ b/src/foxtailsaddle/app/_trip.py
@@ -18,6 +18,7 @@
     """The state of one request at the instance that admitted it.
 
     :param deadline: when the allowed time ends, on the instance's clock.
+    :param death: the endpoint's death that its last attempt has met, if any.
     :param fingerprint: digest of client account and body.
     :param verdict: the strongest that any attempt has given cause for.
     """
@@ -34,6 +35,7 @@
     verdict: Verdict = Verdict.NOT_RUN
     failed: frozenset[EndpointId] = frozenset()
     suspect: bool = False
+    death: str = ""
 
     @property
     def request_id(self) -> str:
--- a/src/foxtailsaddle/core/_crashes.py
+++ b/src/foxtailsaddle/core/_crashes.py
@@ -14,6 +14,7 @@
 @dataclasses.dataclass(slots=True)
 class _Record:
     deaths: set[str] = dataclasses.field(default_factory=set)
+    cleared: set[str] = dataclasses.field(default_factory=set)
     running_until: dict[str, float] = dataclasses.field(default_factory=dict)
     until: float = 0.0
 
@@ -38,6 +39,8 @@
             of one death count once.
         """
         record = self._by_fingerprint.setdefault(fingerprint, _Record())
+        if death in record.cleared:
+            return
         record.deaths.add(death)
         record.until = now + self._hold_s
 
@@ -64,19 +67,27 @@
         record = self._by_fingerprint.setdefault(fingerprint, _Record())
         running = _still_running(record, now)
         running.pop(request, None)
+        record.until = max(record.until, now)
         if len(record.deaths) + len(running) >= MAX_DEATHS:
             return COPY_WAIT_S
         running[request] = until
         record.until = max(record.until, until)
         return 0.0
 
-    def end(self, fingerprint: str, request: str) -> None:
-        """Count a copy as ended."""
+    def end(self, fingerprint: str, request: str, whole: bool) -> None:
+        """Count a copy as ended.
+
+        :param whole: its answer was whole, which clears the request of the
+            deaths so far: it was a neighbour of what caused them.
+        """
         record = self._by_fingerprint.get(fingerprint)
         if record is None:
             return
         record.running_until.pop(request, None)
-        if not record.deaths and not record.running_until:
+        if whole:
+            record.cleared |= record.deaths
+            record.deaths.clear()
+        if not (record.deaths or record.cleared or record.running_until):
             del self._by_fingerprint[fingerprint]
 
     def suspicions(self, now: float) -> list[tuple[str, str]]:
--- a/src/foxtailsaddle/ports/_peers.py
+++ b/src/foxtailsaddle/ports/_peers.py
@@ -109,11 +109,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartRequest:
-    """Asks a fingerprint's home whether a copy of the request may run."""
+    """Asks a fingerprint's home whether a copy of the request may run.
+
+    :param death: the endpoint's death that this copy has just met, if any.
+    """
 
     fingerprint: str
     request: str
     left_s: float
+    death: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,10 +133,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ended:
-    """Tells a fingerprint's home that a copy has ended."""
+    """Tells a fingerprint's home that a copy has ended.
+
+    :param whole: its answer was whole.
+    """
 
     fingerprint: str
     request: str
+    whole: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,6 +6,7 @@
 import typing as t
 
 import fire
+import trio
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
@@ -45,6 +46,7 @@
 
     async def _complete(self, request: Request) -> Response:
         await self.model.knobs.before()
+        self.model.arrivals.append(trio.current_time())
         attempt = request.headers["x-request-id"]
         known = attempt in self.model.by_attempt
         if self.model.leaving and not known:
@@ -67,6 +69,9 @@
             if index < 0:
                 yield b": waiting\n\n"
                 continue
+            if self.model.knobs.crossed:
+                frame = _frame("another~attempt", index, "crossed ", chat)
+                yield f"data: {json.dumps(frame)}\n\n".encode()
             frame = _frame(sequence.attempt, index, text, chat)
             yield f"data: {json.dumps(frame)}\n\n".encode()
             if text is None:
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -56,6 +56,7 @@
     :param load_lag_s: time between two snapshots of the load report.
     :param silent: open streams go silent for good; new ones work.
     :param crash_marker: the engine crashes at a prompt that holds this text.
+    :param crossed: each stream also carries another attempt's tokens.
     :param keepalive_s: time between comments on a waiting stream; 0 for none.
     :param cache_lag_s: how late cache events are published.
     :param cache_gap_every: each so many-th cache event is lost; 0 for none.
@@ -64,6 +65,7 @@
     load_lag_s: float = 0.5
     silent: int = 0
     crash_marker: str = ""
+    crossed: bool = False
     keepalive_s: float = 1.0
     cache_lag_s: float = 0.5
     cache_gap_every: int = 0
@@ -129,6 +131,7 @@
             maxlen=KEPT_RECORDS
         )
         self.finished: set[str] = set()
+        self.arrivals: collections.deque[float] = collections.deque(maxlen=KEPT_RECORDS)
         self.cache: collections.OrderedDict[bytes, None] = collections.OrderedDict()
         self.cache_events: list[tuple[float, int, str, str]] = []
         self._cache_number = 0
--- a/standins/world.py
+++ b/standins/world.py
@@ -161,6 +161,12 @@
         """Return a caller."""
         return Caller(MemoryHttpClient(self.network, "caller"), key)
 
+    def operator(self, name: str) -> adapters.OperatorClient:
+        """Return an operator who speaks to an instance."""
+        client = MemoryHttpClient(self.network, "operator")
+        url = self.url(name, PORT_OPERATORS)
+        return adapters.OperatorClient(client, url, OPERATOR_KEY)
+
     async def _run_host(
         self, name: str, app: t.Any, task: t.Callable[[], t.Awaitable[None]]
     ) -> None:
@@ -191,7 +197,9 @@
                             self.network.host_by_address[address].listening = False
                 await application.stop()
                 background.cancel_scope.cancel()
-        self._running_by_name.pop(name, None)
+        running = self._running_by_name.get(name)
+        if running is not None and running.application is application:
+            del self._running_by_name[name]
 
     def _add_host(self, address: str, app: t.Any, nursery: trio.Nursery) -> None:
         self.network.host_by_address[address] = Host(app, nursery)
