--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool: the product's code against small stand-ins."""
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,69 @@
+"""Tables and plots of results."""
+
+import math
+
+from .plan import PolicyName
+from .run import Result, p95
+
+CLASSES = ("to_8k", "to_32k", "to_100k", "over_100k")
+SHORT_CLASS = "to_8k"
+
+
+def print_table(results: list[Result]) -> None:
+    """Print p95 of time to first token over bare prefill, side by side."""
+    head = " ".join(f"{label:>10}" for label in CLASSES)
+    print(
+        f"{'load':>5} {'policy':24} {head} {'shorts w/wo':>12} "
+        f"{'worst/oracle':>13} {'answered':>10}"
+    )
+    for result in results:
+        if not result.long_ones:
+            continue
+        cells = " ".join(
+            f"{p95(result.slowdowns.get(label)):10.2f}" for label in CLASSES
+        )
+        print(
+            f"{result.load:5.0%} {result.policy.value:24} {cells} "
+            f"{_shorts_ratio(result, results):12.2f} "
+            f"{_over_oracle(result, results):13.2f} "
+            f"{result.answered:5}/{len(result.seen)}"
+        )
+
+
+def plot(results: list[Result], path: str) -> None:
+    """Draw the slowdowns by prompt length as a PNG or SVG file."""
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(8, 4.5))
+    for result in results:
+        if not result.long_ones:
+            continue
+        values = [p95(result.slowdowns.get(label)) for label in CLASSES]
+        label = f"{result.policy.value} at {result.load:.0%}"
+        axes.plot(CLASSES, values, marker="o", label=label)
+    axes.set_yscale("log")
+    axes.set_ylabel("p95 of time to first token over bare prefill")
+    axes.set_xlabel("prompt length")
+    axes.legend(fontsize="small")
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def _shorts_ratio(result: Result, results: list[Result]) -> float:
+    for other in results:
+        same = (other.policy, other.load) == (result.policy, result.load)
+        if same and not other.long_ones:
+            without = p95(other.first_s.get(SHORT_CLASS))
+            return p95(result.first_s.get(SHORT_CLASS)) / without
+    return math.nan
+
+
+def _over_oracle(result: Result, results: list[Result]) -> float:
+    for other in results:
+        oracle = other.policy is PolicyName.ORACLE and other.load == result.load
+        if oracle and other.long_ones:
+            return max(
+                p95(result.slowdowns.get(label)) / p95(other.slowdowns.get(label))
+                for label in CLASSES
+            )
+    return math.nan
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,202 @@
+"""Runs plans and keeps what the callers saw."""
+
+import dataclasses
+import math
+import random
+
+import trio
+from hdrh.histogram import HdrHistogram
+
+from foxtailsaddle.adapters import length_class
+from standins import cost
+from standins.caller import Seen
+from standins.fleet import sha256
+from standins.world import World, run_world
+
+from .plan import LONG_TOKENS, SHORTEST_TOKENS, Fault, Mix, Plan, PolicyName
+from .policies import constants_of, install
+
+RATIO_SCALE = 1000
+HIGHEST_RATIO = 10_000_000
+SIGNIFICANT_DIGITS = 3
+LONG_MEDIAN_TOKENS = 200_000
+BURST_PERIOD_S = 4.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """One request of a plan."""
+
+    at_s: float
+    tokens: int
+    account: str
+    instance: int
+
+
+@dataclasses.dataclass
+class Result:
+    """What came of one run.
+
+    :param slowdowns: time to first token over bare prefill, by length class.
+    """
+
+    policy: PolicyName
+    load: float
+    long_ones: bool
+    seen: list[tuple[Arrival, Seen]]
+    slowdowns: dict[str, HdrHistogram] = dataclasses.field(default_factory=dict)
+    first_s: dict[str, HdrHistogram] = dataclasses.field(default_factory=dict)
+
+    @property
+    def answered(self) -> int:
+        """Requests that got a whole answer."""
+        return sum(seen.code == "ok" for _, seen in self.seen)
+
+
+def bare_s(tokens: int) -> float:
+    """Return the prefill time of a prompt on an idle engine."""
+    return tokens / cost.PREFILL_TOKENS_PER_S
+
+
+def draw_tokens(mix: Mix, rng: random.Random) -> int:
+    """Draw the length of one prompt."""
+    if rng.random() < mix.long_share:
+        spread = math.log(mix.longest_tokens / LONG_TOKENS)
+        return int(LONG_TOKENS * math.exp(rng.random() ** 2 * spread))
+    tokens = rng.lognormvariate(math.log(mix.median_tokens), mix.sigma)
+    return int(min(max(tokens, SHORTEST_TOKENS), LONG_TOKENS))
+
+
+def draw_arrivals(plan: Plan, load: float) -> list[Arrival]:
+    """Draw an open-loop stream of arrivals that offers ``load``."""
+    rng = random.Random(plan.seed)
+    sample = [draw_tokens(plan.mix, rng) for _ in range(20_000)]
+    mean_tokens = sum(sample) / len(sample)
+    rate = load * plan.engines * cost.PREFILL_TOKENS_PER_S / mean_tokens
+    accounts = list(plan.accounts)
+    weights = list(plan.accounts.values())
+    arrivals = []
+    at_s = 0.0
+    while at_s < plan.duration_s:
+        at_s += rng.expovariate(rate * _burst_factor(plan.burst, at_s))
+        arrivals.append(
+            Arrival(
+                at_s,
+                draw_tokens(plan.mix, rng),
+                rng.choices(accounts, weights)[0],
+                rng.randrange(plan.instances),
+            )
+        )
+    return arrivals
+
+
+def _burst_factor(burst: float, at_s: float) -> float:
+    """Return the rate's factor at a time; its mean is 1."""
+    if burst == 1:
+        return 1.0
+    in_burst = at_s % BURST_PERIOD_S < BURST_PERIOD_S / (2 * burst)
+    return burst if in_burst else 0.5 / (1 - 1 / (2 * burst))
+
+
+def run_policy(plan: Plan, policy: PolicyName, load: float, long_ones: bool) -> Result:
+    """Run one policy with the plan's arrivals, in virtual time."""
+    arrivals = [
+        item
+        for item in draw_arrivals(plan, load)
+        if long_ones or item.tokens <= LONG_TOKENS
+    ]
+    result = Result(policy, load, long_ones, [])
+
+    async def scenario(world: World) -> None:
+        for model in world.engine_by_name.values():
+            model.knobs.load_lag_s = plan.load_lag_s
+            model.knobs.keepalive_s = 0.0
+        install(world, policy, plan.seed)
+        async with trio.open_nursery() as nursery:
+            started = trio.current_time()
+            for fault in plan.faults:
+                nursery.start_soon(_cause, world, fault, started)
+            for arrival in arrivals:
+                await trio.sleep_until(started + arrival.at_s)
+                nursery.start_soon(_send, world, plan, arrival, result)
+
+    with constants_of(policy):
+        run_world(
+            scenario,
+            instances=plan.instances,
+            engines=plan.engines,
+            seed=plan.seed,
+            plains=0,
+            latency_s=plan.latency_s,
+            capacity_tokens=plan.capacity_tokens,
+            tree=_tree(plan),
+            instance={"load_interval_s": max(plan.load_lag_s, 0.1), **plan.instance},
+        )
+    return result
+
+
+async def _send(world: World, plan: Plan, arrival: Arrival, result: Result) -> None:
+    names = world.instances
+    if not names:
+        return
+    caller = world.caller(arrival.account)
+    # The first block differs, so that no prompt is in an engine's cache.
+    prompt = f"{arrival.at_s:.6f} " + "x" * (4 * arrival.tokens)
+    prompt = prompt[: 4 * arrival.tokens]
+    url = world.url(names[arrival.instance % len(names)])
+    seen = await caller.complete(url, prompt, plan.output_tokens, plan.allowed_s)
+    seen.request = ""
+    seen.text = ""
+    result.seen.append((arrival, seen))
+
+
+async def _cause(world: World, fault: Fault, started: float) -> None:
+    await trio.sleep_until(started + fault.at_s)
+    if fault.action == "kill":
+        world.kill(fault.name)
+    elif fault.action == "start" and fault.name in world.engine_names:
+        world.start_engine(fault.name)
+    elif fault.action == "start":
+        world.start_instance(fault.name)
+    elif fault.action in ("freeze", "thaw"):
+        frozen = fault.action == "freeze"
+        world.engine_by_name[fault.name].knobs.frozen = frozen
+    else:
+        world.platform.knobs.down = fault.action == "platform_down"
+
+
+def _tree(plan: Plan) -> dict[str, object]:
+    accounts = {name: {"key_sha256": [sha256(name)]} for name in plan.accounts}
+    base = {
+        "max_body_bytes": 6_000_000,
+        "stall_s": 1e6,
+        "max_concurrent": 100_000,
+        "requests_per_s": 1e6,
+        "tokens_per_s": 1e9,
+    }
+    return {"accounts": accounts, "base": base}
+
+
+def fill_histograms(plan: Plan, result: Result) -> None:
+    """Fill the histograms from what the callers saw, past the warm-up."""
+    for arrival, seen in result.seen:
+        if arrival.at_s < plan.warm_up_s or seen.code != "ok":
+            continue
+        label = length_class(arrival.tokens)
+        ratio = seen.first_s / bare_s(arrival.tokens)
+        _record(result.slowdowns, label, ratio)
+        _record(result.first_s, label, seen.first_s)
+
+
+def _record(by_class: dict[str, HdrHistogram], label: str, value: float) -> None:
+    histogram = by_class.setdefault(
+        label, HdrHistogram(1, HIGHEST_RATIO, SIGNIFICANT_DIGITS)
+    )
+    histogram.record_value(min(HIGHEST_RATIO, max(1, int(value * RATIO_SCALE))))
+
+
+def p95(histogram: HdrHistogram | None) -> float:
+    """Return the 95th percentile, or not a number for an empty class."""
+    if histogram is None:
+        return math.nan
+    return histogram.get_value_at_percentile(95) / RATIO_SCALE
--- a/src/foxtailsaddle/adapters/peers.capnp
+++ b/src/foxtailsaddle/adapters/peers.capnp
@@ -45,6 +45,7 @@
   waitS @1 :Float64;
   ownS @2 :Float64;
   incarnation @3 :Text;
+  behindS @4 :Float64;
 }
 
 struct Placed {
--- a/src/foxtailsaddle/app/_gateway.py
+++ b/src/foxtailsaddle/app/_gateway.py
@@ -54,7 +54,7 @@
         self._router = router
         self._limits = limits
         self._crashes = crashes
-        self._runner = runner
+        self.runner = runner
         self._budget = RetryBudget()
 
     def service(self, service_id: ServiceId, kind: ServiceKind) -> Service:
@@ -134,7 +134,7 @@
                 with self._env.tracer.start_as_current_span("attempt") as span:
                     span.set_attribute("attempt", str(trip.attempt))
                     span.set_attribute("endpoint", quote.endpoint)
-                    await self._runner.run(quote, call, trip, answer)
+                    await self.runner.run(quote, call, trip, answer)
                 self._count_attempt(quote, "whole")
                 return
             except EndpointFailedError as error:
--- a/src/foxtailsaddle/app/_router.py
+++ b/src/foxtailsaddle/app/_router.py
@@ -26,6 +26,8 @@
 
 logger = logging.getLogger("foxtailsaddle.routing")
 
+OTHER_DATA_CENTRE_S = 0.001
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wish:
@@ -84,7 +86,8 @@
         async with trio.open_nursery() as nursery:
             for owner in asked:
                 nursery.start_soon(self._ask, owner, by_owner[owner], wish, quotes)
-        return best(quotes, lambda quote: self._distance(endpoints[quote.endpoint]))
+        pick = self._env.random.choice
+        return best(quotes, pick, lambda q: self._distance_s(endpoints[q.endpoint]))
 
     def answer(self, request: QuoteRequest) -> QuoteReply:
         """Return the best of the endpoints that this instance owns."""
@@ -101,10 +104,17 @@
             for endpoint in self._endpoints(wish.service)
             if self.owner(endpoint) == self._members.own.id
         ]
-        quote = best(self._quote_all(owned, wish), lambda _: 0.0)
+        pick = self._env.random.choice
+        quote = best(self._quote_all(owned, wish), pick, lambda _: 0.0)
         if quote is None:
-            return QuoteReply("", 0.0, 0.0, "")
-        return QuoteReply(quote.endpoint, quote.wait_s, quote.own_s, quote.incarnation)
+            return QuoteReply("", 0.0, 0.0, 0.0, "")
+        return QuoteReply(
+            quote.endpoint,
+            quote.wait_s,
+            quote.own_s,
+            quote.behind_s,
+            quote.incarnation,
+        )
 
     def place(self, placed: Placed) -> None:
         """Write a placement into the own book and tell the owner."""
@@ -251,7 +261,15 @@
             return
         if reply.endpoint in endpoints:
             endpoint = EndpointId(reply.endpoint)
-            quotes.append(Quote(endpoint, reply.wait_s, reply.own_s, reply.incarnation))
+            quotes.append(
+                Quote(
+                    endpoint,
+                    reply.wait_s,
+                    reply.own_s,
+                    reply.behind_s,
+                    reply.incarnation,
+                )
+            )
 
     def _tell_owner(self, message: Placed | Prefilled | Released) -> None:
         owner = self.owner(message.endpoint)
@@ -261,5 +279,7 @@
         if member is not None:
             self._env.links.tell(member, message)
 
-    def _distance(self, endpoint: Endpoint) -> float:
-        return float(endpoint.data_centre != self._env.settings.data_centre)
+    def _distance_s(self, endpoint: Endpoint) -> float:
+        if endpoint.data_centre == self._env.settings.data_centre:
+            return 0.0
+        return OTHER_DATA_CENTRE_S
--- a/src/foxtailsaddle/core/_routing.py
+++ b/src/foxtailsaddle/core/_routing.py
@@ -13,7 +13,9 @@
 RATE_SMOOTHING = 0.2
 LEARN_FROM_TOKENS = 2000
 NO_ROOM_PENALTY_S = 1.0
-RANK_FACTOR = 4.0
+BEHIND_WEIGHT = 0.1
+TIE_S = 0.005
+RANK_FACTOR = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,12 +45,14 @@
 class Quote:
     """Predicted seconds to the first token at one endpoint.
 
+    :param behind_s: work at the endpoint that would run after this prompt.
     :param incarnation: the endpoint's, as its owner last heard.
     """
 
     endpoint: EndpointId
     wait_s: float
     own_s: float
+    behind_s: float = 0.0
     incarnation: str = ""
 
     @property
@@ -56,6 +60,15 @@
         """Seconds from dispatch to the first token."""
         return self.wait_s + self.own_s
 
+    @property
+    def score(self) -> float:
+        """What choosing compares: lower is better.
+
+        Work that would run after this prompt costs it nothing now. It counts
+        a little, because later prompts that go there would overtake this one.
+        """
+        return self.total_s + BEHIND_WEIGHT * self.behind_s
+
 
 @dataclasses.dataclass(slots=True)
 class Book:
@@ -133,7 +146,8 @@
         wait_s = ahead / self.rate
         if self.held_tokens + held_tokens > self.capacity_tokens:
             wait_s += NO_ROOM_PENALTY_S
-        return Quote(self.endpoint, wait_s, own_s)
+        behind_s = max(0.0, self.backlog_s - ahead / self.rate)
+        return Quote(self.endpoint, wait_s, own_s, behind_s)
 
     @property
     def held_tokens(self) -> int:
@@ -171,9 +185,24 @@
     return arrived_at + RANK_FACTOR * tokens / rate
 
 
-def best(quotes: t.Iterable[Quote], tie: t.Callable[[Quote], float]) -> Quote | None:
-    """Return the quote with the shortest predicted time.
+def best(
+    quotes: t.Sequence[Quote],
+    pick: t.Callable[[list[Quote]], Quote],
+    distance_s: t.Callable[[Quote], float],
+) -> Quote | None:
+    """Return the quote with the lowest score, or one about as good.
+
+    Instances that decide at the same moment see the same books. Were the very
+    lowest always taken, they would meet at one endpoint.
 
-    :param tie: orders quotes that are equal, for example by distance.
+    :param pick: chooses among quotes that are about as good.
+    :param distance_s: what reaching the endpoint adds, in seconds.
     """
-    return min(quotes, key=lambda quote: (quote.total_s, tie(quote)), default=None)
+    if not quotes:
+        return None
+    cost_s = [quote.score + distance_s(quote) for quote in quotes]
+    bound_s = min(cost_s) + TIE_S
+    good = [
+        quote for quote, cost in zip(quotes, cost_s, strict=True) if cost <= bound_s
+    ]
+    return pick(good)
--- a/src/foxtailsaddle/ports/_peers.py
+++ b/src/foxtailsaddle/ports/_peers.py
@@ -58,6 +58,7 @@
     endpoint: str
     wait_s: float
     own_s: float
+    behind_s: float
     incarnation: str
 
 
