Prompts larger than one engine run on a group of them

Cause: a prompt past one engine's memory was refused, though the longest need more than twice that memory. Options weighed: one leader that pulls memory from others as it goes (two such leaders can hold half each for ever); reservation in one global order, all or nothing, with what was taken given back before waiting (taken).

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -56,13 +56,13 @@
             PolicyName.ORACLE: oracle,
         }[name]
         if name is PolicyName.ORACLE:
-            _order(app, lambda call, trip: call.tokens)
+            _order(app, lambda tokens, trip: tokens)
         elif name is not PolicyName.LEAST_REPORTED_SHORTEST:
-            _order(app, lambda call, trip: trip.admitted_at)
+            _order(app, lambda tokens, trip: trip.admitted_at)
 
 
-def _order(app: Application, priority: t.Callable[[t.Any, t.Any], float]) -> None:
-    app.gateway.runner._priority = priority
+def _order(app: Application, priority: t.Callable[[int, t.Any], float]) -> None:
+    app.gateway.runner.priority = priority
 
 
 def _only_own_book(app: Application) -> None:
@@ -70,7 +70,7 @@
 
     async def choose(wish: t.Any) -> Quote | None:
         router = app.router
-        endpoints = list(router._endpoints(wish.service))
+        endpoints = list(router.endpoints(wish.service))
         return min(
             router._quote_all(endpoints, wish), key=lambda q: q.score, default=None
         )
--- a/src/foxtailsaddle/adapters/_endpoints_http.py
+++ b/src/foxtailsaddle/adapters/_endpoints_http.py
@@ -81,6 +81,36 @@
         async with self._client.exchange(request) as response:
             await response.read()
 
+    async def reserve(self, url: str, attempt: AttemptId, tokens: int) -> bool:
+        """Reserve KV memory for an attempt; false when there is no room."""
+        status = await self._command("PUT", f"{url}/kv/{attempt}", {"tokens": tokens})
+        return status == 200
+
+    async def prefill(
+        self, url: str, attempt: AttemptId, text: str, priority: float
+    ) -> None:
+        """Start the prefill of a part of a prompt into reserved memory."""
+        body = {"prompt": text, "priority": priority}
+        status = await self._command("POST", f"{url}/kv/{attempt}/prefill", body)
+        if status != 202:
+            raise EndpointFailedError(
+                f'endpoint at "{url}" answered {status}', verdict=Verdict.MAY_HAVE_RUN
+            )
+
+    async def _command(self, method: str, url: str, body: t.Any) -> int:
+        request = HttpRequest(
+            method,
+            url,
+            headers={"content-type": "application/json"},
+            body=json.dumps(body).encode(),
+            connect_s=QUERY_S,
+            idle_s=QUERY_S,
+            fresh=True,
+        )
+        async with self._client.exchange(request) as response:
+            await response.read()
+        return response.status
+
     async def load(self, url: str) -> LoadReport:
         """Return the engine's report."""
         request = HttpRequest("GET", f"{url}/load", connect_s=QUERY_S, idle_s=QUERY_S)
@@ -145,6 +175,7 @@
             "stream": True,
             "priority": job.priority,
             "cache_salt": job.salt,
+            "imported_tokens": job.imported_tokens,
             "resume_from": job.resume_from,
             "resume_text": job.resume_text,
             "deadline_ms": attempt.deadline_ms,
--- a/src/foxtailsaddle/app/_application.py
+++ b/src/foxtailsaddle/app/_application.py
@@ -13,6 +13,7 @@
 from ._attempts import AttemptRunner
 from ._environment import Environment
 from ._gateway import Gateway
+from ._groups import GroupRunner
 from ._guards import CrashWatch, LimitGuard
 from ._journal import Journal
 from ._ledger_keeper import LedgerKeeper
@@ -115,6 +116,7 @@
 
     def _build(self, background: trio.Nursery) -> None:
         runner = AttemptRunner(self.env, self.router, background)
+        groups = GroupRunner(self.env, self.router, self.liveness, runner)
         self.ledger = LedgerKeeper(self.env, background)
         self.gateway = Gateway(
             self.env,
@@ -124,6 +126,7 @@
             self.limits,
             self.crashes,
             runner,
+            groups,
         )
         plain = PlainGateway(self.env, self.desk, self.router, self.limits, self.ledger)
         self.web = CallerWeb(
--- a/src/foxtailsaddle/app/_attempts.py
+++ b/src/foxtailsaddle/app/_attempts.py
@@ -82,30 +82,47 @@
         self._background = background
 
     async def run(
-        self, quote: Quote, call: ModelCall, trip: Trip, answer: Answer
+        self,
+        quote: Quote,
+        call: ModelCall,
+        trip: Trip,
+        answer: Answer,
+        imported_tokens: int = 0,
     ) -> None:
         """Run the trip's current attempt at the quoted endpoint.
 
+        :param imported_tokens: of the prompt, that other engines hold for it.
+
         :raises EndpointFailedError: with the verdict of this attempt.
         """
         attempt = trip.attempt
         url = self._router.find(quote.endpoint).url
-        self._router.place(self._placed(quote.endpoint, call, trip))
+        own_tokens = call.tokens - imported_tokens
+        self._router.place(self.placed(quote.endpoint, call, trip, own_tokens))
+        job = self._job(call, trip, answer, imported_tokens)
         reached = True
         try:
-            await self._stream_whole(quote, url, call, trip, answer)
+            await self._stream_whole(quote, url, job, trip, answer)
         except NothingSentError as error:
             reached = False
             raise EndpointFailedError(
-                f'endpoint "{quote.endpoint}" was not reached: {error.message}'
+                f'endpoint "{quote.endpoint}" was not reached: {error.message}',
+                endpoint=quote.endpoint,
             ) from error
+        except EndpointFailedError as error:
+            error.endpoint = quote.endpoint
+            raise
         finally:
             self._router.release(quote.endpoint, str(attempt))
             if reached and not answer.finished:
-                self._background.start_soon(self._cancel, url, attempt)
+                self.cancel_later(url, attempt)
+
+    def cancel_later(self, url: str, attempt: AttemptId) -> None:
+        """Free what an endpoint holds under an attempt, in the background."""
+        self._background.start_soon(self._cancel, url, attempt)
 
     async def _stream_whole(
-        self, quote: Quote, url: str, call: ModelCall, trip: Trip, answer: Answer
+        self, quote: Quote, url: str, job: ModelJob, trip: Trip, answer: Answer
     ) -> None:
         """Stream until the answer is whole, reattaching after silence."""
         idle = 0
@@ -113,7 +130,7 @@
         while not answer.finished:
             before = answer.count
             try:
-                await self._stream_once(quote, url, call, trip, answer)
+                await self._stream_once(quote, url, job, trip, answer)
             except ExchangeBrokenError as error:
                 trip.raise_verdict(Verdict.MAY_HAVE_RUN)
                 await self._ask_after(quote, url, trip, error)
@@ -129,15 +146,17 @@
                 raise _lost(quote.endpoint, "no token after many reattaches")
 
     async def _stream_once(
-        self, quote: Quote, url: str, call: ModelCall, trip: Trip, answer: Answer
+        self, quote: Quote, url: str, job: ModelJob, trip: Trip, answer: Answer
     ) -> None:
-        job = self._job(call, trip, answer)
+        job = dataclasses.replace(
+            job, resume_from=answer.count, resume_text="".join(answer.text)
+        )
         stall_s = trip.policy.stall_s
         models = self._env.models
         async with models.stream(url, trip.attempt, job, stall_s) as events:
             trip.raise_verdict(Verdict.MAY_HAVE_RUN)
             async for event in events:
-                await self._take(event, quote.endpoint, call, trip, answer)
+                await self._take(event, quote.endpoint, trip, answer)
                 if answer.finished:
                     return
         raise ExchangeBrokenError("the stream ended before the answer was whole")
@@ -146,7 +165,6 @@
         self,
         event: TokenEvent,
         endpoint: EndpointId,
-        call: ModelCall,
         trip: Trip,
         answer: Answer,
     ) -> None:
@@ -163,16 +181,14 @@
             await answer.sink.finish(event.finish_reason)
             return
         if answer.count == 0:
-            self._note_first_token(endpoint, call, trip)
+            self._note_first_token(endpoint, trip)
         answer.count += 1
         answer.text.append(event.text)
         await answer.sink.token(event.text)
 
-    def _note_first_token(
-        self, endpoint: EndpointId, call: ModelCall, trip: Trip
-    ) -> None:
+    def _note_first_token(self, endpoint: EndpointId, trip: Trip) -> None:
         self._router.prefilled(endpoint, str(trip.attempt))
-        label = length_class(call.tokens)
+        label = length_class(trip.tokens)
         self._env.metrics.ttft.observe({"length": label}, trip.waited_s)
         trip.note("first token", f'from endpoint "{endpoint}"')
 
@@ -219,31 +235,37 @@
                 await trio.sleep(CANCEL_PAUSE_S)
         logger.info("attempts: cancel not confirmed", extra={"attempt": str(attempt)})
 
-    def _placed(self, endpoint: EndpointId, call: ModelCall, trip: Trip) -> Placed:
+    def placed(
+        self, endpoint: EndpointId, call: ModelCall, trip: Trip, tokens: int
+    ) -> Placed:
+        """Return the placement of ``tokens`` of a call's prompt."""
         return Placed(
             endpoint=endpoint,
             attempt=str(trip.attempt),
-            prompt_tokens=call.tokens,
-            held_tokens=call.held_tokens,
+            prompt_tokens=tokens,
+            held_tokens=tokens + call.max_tokens,
             waited_s=trip.waited_s,
             left_s=trip.left_s,
             suspect=trip.suspect,
         )
 
-    def _priority(self, call: ModelCall, trip: Trip) -> float:
+    def priority(self, tokens: int, trip: Trip) -> float:
         """Return the engine priority: the rank, on the common wall clock."""
         arrived_at = self._env.clock.wall_ms() / MS_PER_S - trip.waited_s
-        return rank_of(arrived_at, call.tokens, NOMINAL_PREFILL_TOKENS_PER_S)
+        return rank_of(arrived_at, tokens, NOMINAL_PREFILL_TOKENS_PER_S)
 
-    def _job(self, call: ModelCall, trip: Trip, answer: Answer) -> ModelJob:
+    def _job(
+        self, call: ModelCall, trip: Trip, answer: Answer, imported_tokens: int
+    ) -> ModelJob:
         return ModelJob(
             model=trip.service,
             prompt=call.prompt,
             messages=call.messages,
             options=call.options,
             max_tokens=call.max_tokens,
-            priority=self._priority(call, trip),
+            priority=self.priority(call.tokens - imported_tokens, trip),
             salt=trip.account,
+            imported_tokens=imported_tokens,
             resume_from=answer.count,
             resume_text="".join(answer.text),
         )
--- a/src/foxtailsaddle/app/_gateway.py
+++ b/src/foxtailsaddle/app/_gateway.py
@@ -23,6 +23,7 @@
 )
 from ._attempts import Answer, AttemptRunner, ModelCall, Sink
 from ._environment import Environment
+from ._groups import GroupRunner
 from ._guards import CrashWatch, LimitGuard
 from ._router import Router, Wish
 from ._settings_keeper import SettingsKeeper
@@ -47,6 +48,7 @@
         limits: LimitGuard,
         crashes: CrashWatch,
         runner: AttemptRunner,
+        groups: GroupRunner,
     ) -> None:
         self._env = env
         self._keeper = keeper
@@ -55,6 +57,7 @@
         self._limits = limits
         self._crashes = crashes
         self.runner = runner
+        self._groups = groups
         self._budget = RetryBudget()
 
     def service(self, service_id: ServiceId, kind: ServiceKind) -> Service:
@@ -114,13 +117,13 @@
 
     def _check_size(self, trip: Trip, call: ModelCall) -> None:
         service = self.service(trip.service, ServiceKind.MODEL)
-        largest = max(
-            (item.capacity_tokens for item in service.endpoints.values()), default=0
-        )
-        if call.held_tokens > largest:
+        capacities = [item.capacity_tokens for item in service.endpoints.values()]
+        trip.tokens = call.tokens
+        trip.grouped = call.held_tokens > max(capacities, default=0)
+        if trip.grouped and not self._groups.holds(trip, call.held_tokens):
             raise PromptTooLargeError(
                 f"a prompt of {call.tokens} tokens does not fit service "
-                f'"{trip.service}", which holds {largest}'
+                f'"{trip.service}", whose endpoints hold {sum(capacities)}'
             )
 
     async def _attempt_until_whole(
@@ -130,26 +133,29 @@
         while True:
             try:
                 await self._may_run(trip)
-                quote = await self._find_endpoint(trip, call)
                 with self._env.tracer.start_as_current_span("attempt") as span:
                     span.set_attribute("attempt", str(trip.attempt))
-                    span.set_attribute("endpoint", quote.endpoint)
-                    await self.runner.run(quote, call, trip, answer)
-                self._count_attempt(quote, "whole")
+                    await self._attempt(trip, call, answer)
                 return
             except EndpointFailedError as error:
-                self._count_attempt(quote, error.code)
-                self._prepare_retry(trip, quote, error)
+                self._count_attempt(error.endpoint, error.code)
+                self._prepare_retry(trip, error)
             except FoxtailsaddleError as error:
                 error.verdict = trip.verdict
                 raise
 
-    def _prepare_retry(
-        self, trip: Trip, quote: Quote, error: EndpointFailedError
-    ) -> None:
+    async def _attempt(self, trip: Trip, call: ModelCall, answer: Answer) -> None:
+        if trip.grouped:
+            await self._groups.run(call, trip, answer)
+            return
+        quote = await self._find_endpoint(trip, call)
+        await self.runner.run(quote, call, trip, answer)
+        self._count_attempt(quote.endpoint, "whole")
+
+    def _prepare_retry(self, trip: Trip, error: EndpointFailedError) -> None:
         """Get the trip ready for another attempt, or raise the final answer."""
         trip.raise_verdict(error.verdict)
-        self._router.failed(quote.endpoint)
+        self._router.failed(error.endpoint)
         trip.note("attempt failed", error.message)
         again = may_retry(
             error.verdict,
@@ -161,7 +167,7 @@
             error.verdict = trip.verdict
             error.retry_after_s = MIN_RETRY_AFTER_S
             raise error
-        trip.failed = trip.failed | {quote.endpoint}
+        trip.failed = trip.failed | {error.endpoint}
         trip.attempt = trip.attempt.next()
 
     async def _may_run(self, trip: Trip) -> None:
@@ -218,5 +224,5 @@
             suspect=trip.suspect,
         )
 
-    def _count_attempt(self, quote: Quote, result: str) -> None:
-        self._env.metrics.attempts.inc({"endpoint": quote.endpoint, "result": result})
+    def _count_attempt(self, endpoint: str, result: str) -> None:
+        self._env.metrics.attempts.inc({"endpoint": endpoint, "result": result})
--- a/src/foxtailsaddle/app/_router.py
+++ b/src/foxtailsaddle/app/_router.py
@@ -76,7 +76,7 @@
 
     async def choose(self, wish: Wish) -> Quote | None:
         """Return the best quote of all owners that answer in time."""
-        endpoints = self._endpoints(wish.service)
+        endpoints = self.endpoints(wish.service)
         by_owner: dict[InstanceId, list[EndpointId]] = {}
         for endpoint in endpoints:
             by_owner.setdefault(self.owner(endpoint), []).append(endpoint)
@@ -101,7 +101,7 @@
         )
         owned = [
             endpoint
-            for endpoint in self._endpoints(wish.service)
+            for endpoint in self.endpoints(wish.service)
             if self.owner(endpoint) == self._members.own.id
         ]
         pick = self._env.random.choice
@@ -173,6 +173,11 @@
         self._book_by_endpoint[endpoint] = book
         return book
 
+    def unranked_quote(self, endpoint: EndpointId) -> Quote:
+        """Return a quote for an endpoint that was chosen by other means."""
+        incarnation = self._liveness.incarnation(endpoint)
+        return Quote(endpoint, 0.0, 0.0, incarnation=incarnation)
+
     def failed(self, endpoint: EndpointId) -> None:
         """Keep new work away from an endpoint for a moment."""
         self._liveness.failed(endpoint, self._env.clock.now())
@@ -201,7 +206,8 @@
     def _tree(self) -> Tree:
         return self._keeper.log.tree
 
-    def _endpoints(self, service: ServiceId) -> dict[EndpointId, Endpoint]:
+    def endpoints(self, service: ServiceId) -> dict[EndpointId, Endpoint]:
+        """Return a service's endpoints that are not withdrawn, by id."""
         found = self._tree.services.get(service)
         if found is None:
             return {}
--- a/src/foxtailsaddle/app/_trip.py
+++ b/src/foxtailsaddle/app/_trip.py
@@ -18,6 +18,8 @@
     """The state of one request at the instance that admitted it.
 
     :param deadline: when the allowed time ends, on the instance's clock.
+    :param tokens: estimate of the prompt's length.
+    :param grouped: the prompt is larger than one endpoint.
     :param death: the endpoint's death that its last attempt has met, if any.
     :param fingerprint: digest of client account and body.
     :param verdict: the strongest that any attempt has given cause for.
@@ -36,6 +38,8 @@
     failed: frozenset[EndpointId] = frozenset()
     suspect: bool = False
     death: str = ""
+    tokens: int = 0
+    grouped: bool = False
 
     @property
     def request_id(self) -> str:
--- a/src/foxtailsaddle/core/__init__.py
+++ b/src/foxtailsaddle/core/__init__.py
@@ -2,6 +2,7 @@
 
 from ..verdicts import Verdict
 from ._crashes import CrashGuard
+from ._groups import Candidate, Share, group_capacity, plan_group
 from ._ids import (
     AccountId,
     AttemptId,
@@ -40,6 +41,7 @@
     "AttemptId",
     "Book",
     "Bucket",
+    "Candidate",
     "CrashGuard",
     "DataCentre",
     "Endpoint",
@@ -67,15 +69,18 @@
     "ServiceId",
     "ServiceKind",
     "SettingsFile",
+    "Share",
     "Tree",
     "Verdict",
     "best",
     "closing",
     "find",
+    "group_capacity",
     "may_retry",
     "orphans",
     "owner_of",
     "patched",
+    "plan_group",
     "rank_of",
     "read_model",
     "read_tree",
--- a/src/foxtailsaddle/errors.py
+++ b/src/foxtailsaddle/errors.py
@@ -127,11 +127,18 @@
 
 
 class EndpointFailedError(FoxtailsaddleError):
-    """An endpoint failed and the request could not go on elsewhere."""
+    """An endpoint failed and the request could not go on elsewhere.
+
+    :param endpoint: the one that failed.
+    """
 
     code = "endpoint_failed"
     status = 502
 
+    def __init__(self, message: str, *, endpoint: str = "", **options: t.Any) -> None:
+        super().__init__(message, **options)
+        self.endpoint = endpoint
+
 
 class KeyReusedError(FoxtailsaddleError):
     """The idempotency key was used before with another body."""
--- a/src/foxtailsaddle/ports/_endpoints.py
+++ b/src/foxtailsaddle/ports/_endpoints.py
@@ -15,6 +15,7 @@
     :param prompt: the text; for a chat, its messages' texts for the estimate.
     :param messages: the messages of a chat, else empty.
     :param options: sampling options, passed on as they came.
+    :param imported_tokens: of the prompt, whose KV other engines hold for it.
     :param resume_from: tokens that the caller already has.
     :param resume_text: the text of those tokens.
     :param priority: lower runs first.
@@ -28,6 +29,7 @@
     max_tokens: int
     priority: float
     salt: str
+    imported_tokens: int = 0
     resume_from: int = 0
     resume_text: str = ""
 
@@ -89,6 +91,22 @@
         :raises FoxtailsaddleError: the engine did not answer.
         """
 
+    async def reserve(self, url: str, attempt: AttemptId, tokens: int) -> bool:
+        """Reserve KV memory for an attempt; false when there is no room.
+
+        :raises FoxtailsaddleError: the engine did not answer.
+        """
+
+    async def prefill(
+        self, url: str, attempt: AttemptId, text: str, priority: float
+    ) -> None:
+        """Start the prefill of a part of a prompt into reserved memory.
+
+        Asking again for the same attempt starts nothing anew.
+
+        :raises FoxtailsaddleError: the engine did not answer.
+        """
+
     async def load(self, url: str) -> LoadReport:
         """Return the engine's report.
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -36,6 +36,7 @@
                 Route(attempt + "/cancel", self._cancel, methods=post),
                 Route("/kv/events", self._events),
                 Route("/kv/{name}", self._reserve, methods=["PUT"]),
+                Route("/kv/{name}/prefill", self._prefill, methods=post),
                 Route("/load", self._load),
                 Route("/orders", self._order, methods=post),
                 Route("/leave", self._leave, methods=post),
@@ -96,6 +97,15 @@
             return JSONResponse({"error": "no room"}, 409)
         return JSONResponse({"reserved": body["tokens"]})
 
+    async def _prefill(self, request: Request) -> Response:
+        await self.model.knobs.before()
+        self.model.arrivals.append(trio.current_time())
+        name = request.path_params["name"]
+        body = await read_json(request)
+        if not self.model.prefill(name, body["prompt"], body["priority"]):
+            return JSONResponse({"error": "nothing reserved"}, 409)
+        return JSONResponse({"started": name}, 202)
+
     async def _load(self, request: Request) -> Response:
         await self.model.knobs.before()
         return JSONResponse(self.model.load())
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -73,7 +73,10 @@
 
 @dataclasses.dataclass
 class Sequence:
-    """One attempt at the engine."""
+    """One attempt at the engine.
+
+    :param part: a part of a larger prompt, whose memory is reserved already.
+    """
 
     attempt: str
     digest: bytes
@@ -84,6 +87,7 @@
     remaining: float
     blocks: list[bytes]
     crashes: bool = False
+    part: bool = False
     admitted: bool = False
     count: int = 0
     news: trio.Event = dataclasses.field(default_factory=trio.Event)
@@ -91,12 +95,14 @@
     @property
     def held_tokens(self) -> int:
         """Tokens of KV cache that the sequence takes."""
+        if self.part:
+            return 0
         return self.prompt_tokens + self.max_tokens
 
     @property
     def done(self) -> bool:
-        """Whether all tokens have been generated."""
-        return self.count >= self.max_tokens
+        """Whether all work on the sequence is done."""
+        return self.remaining <= 0 and self.count >= self.max_tokens
 
     def tell(self) -> None:
         """Wake the streams that wait for the next token."""
@@ -151,7 +157,9 @@
         if known is not None:
             return known
         start = int(body.get("resume_from", 0))
-        prompt_tokens = cost.tokens_of(prompt)
+        self.reserved_by_name.pop(attempt, None)
+        imported = int(body.get("imported_tokens", 0))
+        prompt_tokens = max(1, cost.tokens_of(prompt) - imported)
         blocks = _blocks(prompt, str(body.get("cache_salt", "")))
         marker = self.knobs.crash_marker
         sequence = Sequence(
@@ -188,11 +196,35 @@
         self.reserved_by_name[name] = tokens
         return True
 
+    def prefill(self, name: str, text: str, priority: float) -> bool:
+        """Prefill a part of a prompt into reserved memory."""
+        if name not in self.reserved_by_name:
+            return False
+        if name not in self.by_attempt:
+            tokens = cost.tokens_of(text)
+            part = Sequence(
+                attempt=name,
+                digest=digest_of(text),
+                prompt_tokens=tokens,
+                max_tokens=0,
+                priority=priority,
+                start=0,
+                remaining=tokens,
+                blocks=[],
+                part=True,
+            )
+            self.by_attempt[name] = part
+            self._wake.set()
+        return True
+
     def state(self, attempt: str) -> str | None:
         """Return what became of an attempt, ``None`` when it is not known."""
         if attempt in self.finished:
             return "finished"
-        return "running" if attempt in self.by_attempt else None
+        sequence = self.by_attempt.get(attempt)
+        if sequence is None:
+            return "running" if attempt in self.reserved_by_name else None
+        return "finished" if sequence.part and sequence.done else "running"
 
     def order(self, order: dict[str, t.Any]) -> bool:
         """Carry out an order; false when its fencing number is too old."""
@@ -305,7 +337,7 @@
         if sequence.crashes:
             self._on_crash()
         self._remember(sequence.blocks)
-        sequence.count += 1
+        sequence.count += not sequence.part
         sequence.tell()
 
     def _cached_tokens(self, blocks: list[bytes]) -> int:
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -201,7 +201,7 @@
         run_world(self.two_deaths_at_once)
 
     def test_fails_without_resuming_by_offset(self):
-        async def take_anything(runner, event, endpoint, call, trip, answer) -> None:
+        async def take_anything(runner, event, endpoint, trip, answer) -> None:
             if event.finish_reason is not None:
                 answer.finished = True
                 await answer.sink.finish(event.finish_reason)
