Overload sheds early, shares are fair, dead endpoints attract nothing

Admitted now is what waits at most 0.3 of the time it has to spare. Also: virtual runs seed the scheduler, so that a run has one course.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -41,7 +41,7 @@
         print(f"{error.code}: {error.message}", file=sys.stderr)
         sys.exit(1)
     results = run_plan(read, workers)
-    print_table(results)
+    print_table(read, results)
     if png:
         plot(results, png)
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -2,19 +2,19 @@
 
 import math
 
-from .plan import PolicyName
+from .plan import Plan, PolicyName
 from .run import Result, p95
 
 CLASSES = ("to_8k", "to_32k", "to_100k", "over_100k")
 SHORT_CLASS = "to_8k"
 
 
-def print_table(results: list[Result]) -> None:
+def print_table(plan: Plan, results: list[Result]) -> None:
     """Print p95 of time to first token over bare prefill, side by side."""
     head = " ".join(f"{label:>10}" for label in CLASSES)
     print(
         f"{'load':>5} {'policy':24} {head} {'shorts w/wo':>12} "
-        f"{'worst/oracle':>13} {'answered':>10}"
+        f"{'worst/oracle':>13} {'answered':>11} {'goodput':>8} {'refused in':>10}"
     )
     for result in results:
         if not result.long_ones:
@@ -26,7 +26,8 @@
             f"{result.load:5.0%} {result.policy.value:24} {cells} "
             f"{_shorts_ratio(result, results):12.2f} "
             f"{_over_oracle(result, results):13.2f} "
-            f"{result.answered:5}/{len(result.seen)}"
+            f"{result.answered:5}/{len(result.seen):<5} "
+            f"{result.goodput(plan):8.2f} {_slowest_refusal(result):>10}"
         )
 
 
@@ -49,6 +50,14 @@
     figure.savefig(path)
 
 
+def _slowest_refusal(result: Result) -> str:
+    """Return the 99th percentile of times to a refusal."""
+    times_s = result.refusals_s
+    if not times_s:
+        return "-"
+    return f"{times_s[int(0.99 * (len(times_s) - 1))] * 1000:.0f} ms"
+
+
 def _shorts_ratio(result: Result, results: list[Result]) -> float:
     for other in results:
         same = (other.policy, other.load) == (result.policy, result.load)
--- a/bench/run.py
+++ b/bench/run.py
@@ -47,6 +47,22 @@
     slowdowns: dict[str, HdrHistogram] = dataclasses.field(default_factory=dict)
     first_s: dict[str, HdrHistogram] = dataclasses.field(default_factory=dict)
 
+    def goodput(self, plan: Plan) -> float:
+        """Return prefill work answered in time over the fleet's capacity."""
+        done = sum(
+            arrival.tokens
+            for arrival, seen in self.seen
+            if seen.code == "ok" and arrival.at_s >= plan.warm_up_s
+        )
+        rate = plan.engines * cost.PREFILL_TOKENS_PER_S
+        return done / (rate * (plan.duration_s - plan.warm_up_s))
+
+    @property
+    def refusals_s(self) -> list[float]:
+        """Times to the answer of refused requests, ascending."""
+        refused = ("overloaded", "limit_exceeded")
+        return sorted(s.total_s for _, s in self.seen if s.code in refused)
+
     @property
     def answered(self) -> int:
         """Requests that got a whole answer."""
@@ -106,6 +122,14 @@
         if long_ones or item.tokens <= LONG_TOKENS
     ]
     result = Result(policy, load, long_ones, [])
+    run_arrivals(plan, policy, arrivals, result)
+    return result
+
+
+def run_arrivals(
+    plan: Plan, policy: PolicyName, arrivals: list[Arrival], result: Result
+) -> None:
+    """Send arrivals to a new world; the result takes what callers saw."""
 
     async def scenario(world: World) -> None:
         for model in world.engine_by_name.values():
@@ -132,7 +156,6 @@
             tree=_tree(plan),
             instance={"load_interval_s": max(plan.load_lag_s, 0.1), **plan.instance},
         )
-    return result
 
 
 async def _send(world: World, plan: Plan, arrival: Arrival, result: Result) -> None:
--- a/src/foxtailsaddle/adapters/peers.capnp
+++ b/src/foxtailsaddle/adapters/peers.capnp
@@ -68,15 +68,21 @@
   attempt @1 :Text;
 }
 
+struct Failed {
+  endpoint @0 :Text;
+}
+
 struct GrantRequest {
   key @0 :Text;
   tokens @1 :Float64;
   requestsPerS @2 :Float64;
   tokensPerS @3 :Float64;
+  shareTokensPerS @4 :Float64;
 }
 
 struct GrantReply {
   waitS @0 :Float64;
+  lagS @1 :Float64;
 }
 
 struct StartRequest {
@@ -125,5 +131,6 @@
     startReply @14 :StartReply;
     ended @15 :Ended;
     suspicion @16 :Suspicion;
+    failed @17 :Failed;
   }
 }
--- a/src/foxtailsaddle/app/_attempts.py
+++ b/src/foxtailsaddle/app/_attempts.py
@@ -244,14 +244,14 @@
             attempt=str(trip.attempt),
             prompt_tokens=tokens,
             held_tokens=tokens + call.max_tokens,
-            waited_s=trip.waited_s,
+            waited_s=trip.ranked_wait_s,
             left_s=trip.left_s,
             suspect=trip.suspect,
         )
 
     def priority(self, tokens: int, trip: Trip) -> float:
         """Return the engine priority: the rank, on the common wall clock."""
-        arrived_at = self._env.clock.wall_ms() / MS_PER_S - trip.waited_s
+        arrived_at = self._env.clock.wall_ms() / MS_PER_S - trip.ranked_wait_s
         return rank_of(arrived_at, tokens, NOMINAL_PREFILL_TOKENS_PER_S)
 
     def _job(
--- a/src/foxtailsaddle/app/_gateway.py
+++ b/src/foxtailsaddle/app/_gateway.py
@@ -21,10 +21,11 @@
     PromptTooLargeError,
     ServiceUnknownError,
 )
+from ..verdicts import Verdict
 from ._attempts import Answer, AttemptRunner, ModelCall, Sink
 from ._environment import Environment
 from ._groups import GroupRunner
-from ._guards import CrashWatch, LimitGuard
+from ._guards import CrashWatch, LimitGuard, allowance_of
 from ._router import Router, Wish
 from ._settings_keeper import SettingsKeeper
 from ._trip import Trip, TripDesk
@@ -34,6 +35,7 @@
 NO_ENDPOINT_WAIT_S = 2.0
 NO_ENDPOINT_PAUSE_S = 0.05
 MIN_RETRY_AFTER_S = 1.0
+PATIENCE = 0.3
 
 
 class Gateway:
@@ -110,10 +112,17 @@
     async def _admit(self, trip: Trip, call: ModelCall) -> None:
         with self._env.tracer.start_as_current_span("admit"):
             self._check_size(trip, call)
-            await self._limits.admit(
-                trip.account, trip.service, call.held_tokens, trip.policy
+            service = self.service(trip.service, ServiceKind.MODEL)
+            trip.lag_s = await self._limits.admit(
+                trip.account,
+                trip.service,
+                call.held_tokens,
+                allowance_of(trip.policy, service.prefill_tokens_per_s),
+            )
+            trip.note(
+                "admitted",
+                f"estimated at {call.tokens} tokens, ranks {trip.lag_s:.1f} s later",
             )
-            trip.note("admitted", f"estimated at {call.tokens} tokens")
 
     def _check_size(self, trip: Trip, call: ModelCall) -> None:
         service = self.service(trip.service, ServiceKind.MODEL)
@@ -156,11 +165,12 @@
         """Get the trip ready for another attempt, or raise the final answer."""
         trip.raise_verdict(error.verdict)
         self._router.failed(error.endpoint)
+        trip.reached += error.verdict is not Verdict.NOT_RUN
         trip.note("attempt failed", error.message)
         again = may_retry(
             error.verdict,
             repeatable=True,
-            attempts=trip.attempt.number,
+            attempts=trip.reached,
             max_attempts=trip.policy.max_attempts,
         )
         if not again or not self._budget.take():
@@ -202,9 +212,10 @@
                     )
                 trip.failed = frozenset()
                 await trio.sleep(NO_ENDPOINT_PAUSE_S)
-        if quote.total_s > trip.left_s:
+        if quote.wait_s > PATIENCE * (trip.left_s - quote.own_s):
             raise OverloadedError(
-                f"the first token is {quote.total_s:.1f} s away, past the allowed time",
+                f"{quote.wait_s:.1f} s of work are ahead and {quote.own_s:.1f} s its "
+                f"own, too much for the {trip.left_s:.1f} s left",
                 retry_after_s=max(MIN_RETRY_AFTER_S, quote.wait_s),
             )
         trip.note(
@@ -219,7 +230,7 @@
             service=trip.service,
             tokens=call.tokens,
             held_tokens=call.held_tokens,
-            waited_s=trip.waited_s,
+            waited_s=trip.ranked_wait_s,
             without=trip.failed,
             suspect=trip.suspect,
         )
--- a/src/foxtailsaddle/app/_guards.py
+++ b/src/foxtailsaddle/app/_guards.py
@@ -10,6 +10,7 @@
     InstanceId,
     Members,
     Policy,
+    RecentRate,
     ServiceId,
     owner_of,
 )
@@ -27,6 +28,7 @@
 HOME_TIMEOUT_S = 0.1
 SHORT_WAIT_S = 0.1
 MIN_WAIT_S = 0.005
+IDLE_S = 60.0
 
 
 class LimitGuard:
@@ -38,46 +40,58 @@
         self._home = HomeLimits()
         self._share = HomeLimits()
         self._owners: list[InstanceId] = []
+        self._granted_by_key: dict[str, RecentRate] = {}
 
     async def admit(
-        self, account: AccountId, service: ServiceId, tokens: int, policy: Policy
-    ) -> None:
-        """Count one request against the account's limits.
+        self,
+        account: AccountId,
+        service: ServiceId,
+        tokens: int,
+        allowance: Allowance,
+    ) -> float:
+        """Count one request; return the seconds by which it ranks later.
 
-        While the home does not answer, this instance admits its even share. A
-        wait that is shorter than a caller's way back is waited out here.
+        A wait that is shorter than a caller's way back is waited out here.
 
         :raises LimitExceededError: with the seconds after which to come back.
         """
         request = GrantRequest(
             key=f"{account}/{service}",
             tokens=tokens,
-            requests_per_s=policy.requests_per_s,
-            tokens_per_s=policy.tokens_per_s,
+            requests_per_s=allowance.requests_per_s,
+            tokens_per_s=allowance.tokens_per_s,
+            share_tokens_per_s=allowance.share_tokens_per_s,
         )
         give_up_at = self._env.clock.now() + SHORT_WAIT_S
-        while (wait_s := await self._ask_home(request)) > 0:
-            wait_s = max(wait_s, MIN_WAIT_S)
-            if self._env.clock.now() + wait_s <= give_up_at:
-                await trio.sleep(wait_s)
-                continue
-            raise LimitExceededError(
-                f'client account "{account}" is over its limit at "{service}"',
-                retry_after_s=wait_s,
-            )
+        while True:
+            reply = await self._ask_home(request)
+            if not reply.wait_s:
+                return reply.lag_s
+            wait_s = max(reply.wait_s, MIN_WAIT_S)
+            if self._env.clock.now() + wait_s > give_up_at:
+                raise LimitExceededError(
+                    f'client account "{account}" is over its limit at "{service}"',
+                    retry_after_s=wait_s,
+                )
+            await trio.sleep(wait_s)
 
     def answer(self, request: GrantRequest) -> GrantReply:
         """Decide as the home of the account."""
         self._note_owners()
-        allowance = Allowance(request.requests_per_s, request.tokens_per_s)
-        now = self._env.clock.now()
-        return GrantReply(self._home.take(request.key, request.tokens, allowance, now))
+        return self._take(self._home, request, 1.0)
 
     def forget_idle(self) -> None:
         """Drop what was not used for a while."""
         self._note_owners()
         now = self._env.clock.now()
         self._home.forget_idle(now)
+        idle = [
+            key
+            for key, recent in self._granted_by_key.items()
+            if now - recent.updated_at > IDLE_S
+        ]
+        for key in idle:
+            del self._granted_by_key[key]
         self._share.forget_idle(now)
 
     def _note_owners(self) -> None:
@@ -87,23 +101,49 @@
             self._owners = owners
             self._home.settle(now)
 
-    async def _ask_home(self, request: GrantRequest) -> float:
+    async def _ask_home(self, request: GrantRequest) -> GrantReply:
         home = _home_of(f"account:{request.key}", self._env, self._members)
         if home == self._members.own.id:
-            return self.answer(request).wait_s
+            reply = self.answer(request)
+            self._note_granted(request, reply)
+            return reply
         member = self._members.get(home)
         reply = await self._env.links.ask(member, request, HOME_TIMEOUT_S)
         if isinstance(reply, GrantReply):
-            return reply.wait_s
-        return self._take_share(request)
+            self._note_granted(request, reply)
+            return reply
+        return self._take(self._share, request, self._own_part(request))
 
-    def _take_share(self, request: GrantRequest) -> float:
+    def _note_granted(self, request: GrantRequest, reply: GrantReply) -> None:
+        if reply.wait_s:
+            return
         now = self._env.clock.now()
-        count = len(self._members.owners(now))
+        self._granted_by_key.setdefault(request.key, RecentRate()).add(1, now)
+
+    def _own_part(self, request: GrantRequest) -> float:
+        """Return the part of an allowance to admit while the home is silent.
+
+        That is what the home granted this instance lately, which under a
+        skewed balancer may be all of it, or else the even part.
+        """
+        now = self._env.clock.now()
+        even = 1 / len(self._members.owners(now))
+        recent = self._granted_by_key.get(request.key)
+        if recent is None:
+            return even
+        return min(1.0, max(even, recent.at(now) / request.requests_per_s))
+
+    def _take(
+        self, limits: HomeLimits, request: GrantRequest, part: float
+    ) -> GrantReply:
         allowance = Allowance(
-            request.requests_per_s / count, request.tokens_per_s / count
+            request.requests_per_s * part,
+            request.tokens_per_s * part,
+            request.share_tokens_per_s * part,
         )
-        return self._share.take(request.key, request.tokens, allowance, now)
+        now = self._env.clock.now()
+        grant = limits.take(request.key, request.tokens, allowance, now)
+        return GrantReply(grant.wait_s, grant.lag_s)
 
 
 class CrashWatch:
@@ -178,5 +218,14 @@
             self._env.links.tell(member, message)
 
 
+def allowance_of(policy: Policy, service_tokens_per_s: float) -> Allowance:
+    """Return what a policy allows at a service of this rate."""
+    return Allowance(
+        requests_per_s=policy.requests_per_s,
+        tokens_per_s=policy.tokens_per_s,
+        share_tokens_per_s=max(1.0, policy.fleet_share * service_tokens_per_s),
+    )
+
+
 def _home_of(key: str, env: Environment, members: Members) -> InstanceId:
     return InstanceId(owner_of(key, members.owners(env.clock.now())))
--- a/src/foxtailsaddle/app/_peering.py
+++ b/src/foxtailsaddle/app/_peering.py
@@ -18,6 +18,7 @@
 from ..ports import (
     Ended,
     EndpointWord,
+    Failed,
     GrantRequest,
     Heartbeat,
     ListedInstance,
@@ -67,6 +68,7 @@
             Placed: router.note_placed,
             Prefilled: router.note_prefilled,
             Released: router.note_released,
+            Failed: router.note_failed,
             GrantRequest: limits.answer,
             StartRequest: crashes.answer,
             Ended: crashes.note_ended,
--- a/src/foxtailsaddle/app/_plain_gateway.py
+++ b/src/foxtailsaddle/app/_plain_gateway.py
@@ -29,7 +29,7 @@
 from ..ports import Placed, PlainAnswer, PlainCall
 from ..verdicts import Verdict
 from ._environment import Environment
-from ._guards import LimitGuard
+from ._guards import LimitGuard, allowance_of
 from ._ledger_keeper import Claim, LedgerKeeper
 from ._router import Router, Wish
 from ._trip import Trip, TripDesk
@@ -92,7 +92,8 @@
                             f'calls of service "{trip.service}" run at most once '
                             f"and need an Idempotency-Key header"
                         )
-                    await self._limits.admit(trip.account, trip.service, 1, trip.policy)
+                    allowance = allowance_of(trip.policy, trip.policy.requests_per_s)
+                    await self._limits.admit(trip.account, trip.service, 1, allowance)
                     if once:
                         return await self._call_once(trip, service, request)
                     return await self._call_until_answered(trip, request)
--- a/src/foxtailsaddle/app/_router.py
+++ b/src/foxtailsaddle/app/_router.py
@@ -20,7 +20,7 @@
     owner_of,
     rank_of,
 )
-from ..ports import Placed, Prefilled, QuoteReply, QuoteRequest, Released
+from ..ports import Failed, Placed, Prefilled, QuoteReply, QuoteRequest, Released
 from ._environment import Environment
 from ._settings_keeper import SettingsKeeper
 
@@ -179,8 +179,14 @@
         return Quote(endpoint, 0.0, 0.0, incarnation=incarnation)
 
     def failed(self, endpoint: EndpointId) -> None:
-        """Keep new work away from an endpoint for a moment."""
-        self._liveness.failed(endpoint, self._env.clock.now())
+        """Keep new work away from an endpoint that failed; tell its owner."""
+        message = Failed(endpoint)
+        self.note_failed(message)
+        self._tell_owner(message)
+
+    def note_failed(self, message: Failed) -> None:
+        """Keep new work away until the endpoint gives a later word."""
+        self._liveness.failed(message.endpoint, self._env.clock.now())
 
     def find(self, endpoint: EndpointId) -> Endpoint | None:
         """Return an endpoint's settings, whatever its service."""
@@ -277,7 +283,7 @@
                 )
             )
 
-    def _tell_owner(self, message: Placed | Prefilled | Released) -> None:
+    def _tell_owner(self, message: Placed | Prefilled | Released | Failed) -> None:
         owner = self.owner(message.endpoint)
         if owner == self._members.own.id:
             return
--- a/src/foxtailsaddle/app/_trip.py
+++ b/src/foxtailsaddle/app/_trip.py
@@ -19,9 +19,11 @@
 
     :param deadline: when the allowed time ends, on the instance's clock.
     :param tokens: estimate of the prompt's length.
+    :param lag_s: seconds by which it ranks later, as its account is over its share.
     :param grouped: the prompt is larger than one endpoint.
     :param death: the endpoint's death that its last attempt has met, if any.
     :param fingerprint: digest of client account and body.
+    :param reached: attempts that reached an endpoint.
     :param verdict: the strongest that any attempt has given cause for.
     """
 
@@ -34,11 +36,13 @@
     env: Environment
     journal: Journal
     fingerprint: str
+    reached: int = 0
     verdict: Verdict = Verdict.NOT_RUN
     failed: frozenset[EndpointId] = frozenset()
     suspect: bool = False
     death: str = ""
     tokens: int = 0
+    lag_s: float = 0.0
     grouped: bool = False
 
     @property
@@ -56,6 +60,11 @@
         """Seconds since the request was admitted."""
         return self.env.clock.now() - self.admitted_at
 
+    @property
+    def ranked_wait_s(self) -> float:
+        """Seconds of waiting that count for its rank; below zero ranks later."""
+        return self.waited_s - self.lag_s
+
     def note(self, decision: str, reason: str) -> None:
         """Write a decision into the journal."""
         at_ms = int(self.waited_s * MS_PER_S)
--- a/src/foxtailsaddle/core/__init__.py
+++ b/src/foxtailsaddle/core/__init__.py
@@ -12,7 +12,14 @@
     ServiceId,
 )
 from ._ledger import Entry, EntryState, Finding, Outcome, closing, find
-from ._limits import Allowance, Bucket, HomeLimits
+from ._limits import (
+    Allowance,
+    Bucket,
+    FairShare,
+    Grant,
+    HomeLimits,
+    RecentRate,
+)
 from ._liveness import Liveness
 from ._members import Member, Members, MemberState
 from ._ownership import owner_of
@@ -48,7 +55,9 @@
     "EndpointId",
     "Entry",
     "EntryState",
+    "FairShare",
     "Finding",
+    "Grant",
     "HomeLimits",
     "InstanceId",
     "InstanceSettings",
@@ -62,6 +71,7 @@
     "Placement",
     "Policy",
     "Quote",
+    "RecentRate",
     "RetryBudget",
     "Revision",
     "RevisionLog",
--- a/src/foxtailsaddle/core/_limits.py
+++ b/src/foxtailsaddle/core/_limits.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,12 +42,83 @@
         self.level = min(self.burst, self.level + amount)
 
 
+@dataclasses.dataclass(slots=True)
+class RecentRate:
+    """The rate at which something came lately, older events counting less.
+
+    :param tau_s: time in which an event's weight falls to 1/e, in seconds.
+    :param memory_s: the same for a rate that is no longer added to.
+    """
+
+    tau_s: float = 1.0
+    memory_s: float = 5.0
+    rate: float = 0.0
+    updated_at: float = 0.0
+
+    def add(self, amount: float, now: float) -> None:
+        """Count an event of this amount."""
+        weight = math.exp((self.updated_at - now) / self.tau_s)
+        self.rate = self.rate * weight + amount / self.tau_s
+        self.updated_at = now
+
+    def at(self, now: float) -> float:
+        """Return the rate, forgetting slowly since the last event."""
+        return self.rate * math.exp((self.updated_at - now) / self.memory_s)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Allowance:
     """Rates of one account at one service, over all instances."""
 
     requests_per_s: float
     tokens_per_s: float
+    share_tokens_per_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class FairShare:
+    """How far an account is ahead of its share of a service.
+
+    Prompts of an account that keeps to its share rank by their arrival. Those
+    of one that sends more rank as if they came later, so that they wait for,
+    and are refused before, the prompts of others. Nothing is lost while the
+    service is idle.
+
+    :param rate: tokens per second of the share.
+    """
+
+    MAX_LAG_S = 30.0
+    SLACK_S = 0.5
+
+    rate: float
+    paid_until: float
+
+    def add(self, tokens: float, now: float) -> float:
+        """Count a prompt; return the seconds by which it ranks later."""
+        self.paid_until = max(self.paid_until, now - self.SLACK_S)
+        lag_s = max(0.0, self.paid_until - now)
+        latest = now + self.MAX_LAG_S
+        self.paid_until = min(latest, self.paid_until + tokens / self.rate)
+        return lag_s
+
+
+@dataclasses.dataclass(slots=True)
+class _Account:
+    requests: Bucket
+    volume: Bucket
+    share: FairShare
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """The home's word on one request.
+
+    :param wait_s: zero when admitted, else the seconds to wait.
+    :param lag_s: seconds by which the prompt ranks later.
+    """
+
+    wait_s: float
+    lag_s: float = 0.0
 
 
 class HomeLimits:
@@ -55,7 +127,7 @@
     BURST_S = 1.0
 
     def __init__(self, idle_s: float = 60.0) -> None:
-        self._by_key: dict[str, tuple[Bucket, Bucket]] = {}
+        self._by_key: dict[str, _Account] = {}
         self._idle_s = idle_s
         self._settled_at = float("-inf")
 
@@ -70,44 +142,46 @@
         """
         self._settled_at = now
 
-    def take(self, key: str, tokens: float, allowance: Allowance, now: float) -> float:
-        """Admit one request of ``tokens``; return 0, or seconds to wait."""
-        requests, volume = self._buckets(key, allowance, now)
-        wait_s = requests.take(1, now)
+    def take(self, key: str, tokens: float, allowance: Allowance, now: float) -> Grant:
+        """Admit one request of ``tokens``, or say how long to wait."""
+        account = self._account(key, allowance, now)
+        wait_s = account.requests.take(1, now)
         if wait_s:
-            return wait_s
-        wait_s = volume.take(tokens, now)
+            return Grant(wait_s)
+        wait_s = account.volume.take(tokens, now)
         if wait_s:
-            requests.put_back(1)
-        return wait_s
+            account.requests.put_back(1)
+            return Grant(wait_s)
+        return Grant(0.0, account.share.add(tokens, now))
 
     def forget_idle(self, now: float) -> None:
         """Drop the buckets that were not used for a while."""
         stale = [
             key
-            for key, (requests, _) in self._by_key.items()
-            if now - requests.updated_at > self._idle_s
+            for key, account in self._by_key.items()
+            if now - account.requests.updated_at > self._idle_s
         ]
         for key in stale:
             del self._by_key[key]
 
-    def _buckets(
-        self, key: str, allowance: Allowance, now: float
-    ) -> tuple[Bucket, Bucket]:
-        pair = self._by_key.get(key)
-        if pair is None:
-            pair = (
+    def _account(self, key: str, allowance: Allowance, now: float) -> _Account:
+        account = self._by_key.get(key)
+        if account is None:
+            account = _Account(
                 self._new_bucket(allowance.requests_per_s, now),
                 self._new_bucket(allowance.tokens_per_s, now),
+                FairShare(allowance.share_tokens_per_s, now),
             )
-            self._by_key[key] = pair
-        for bucket, rate in zip(
-            pair, (allowance.requests_per_s, allowance.tokens_per_s), strict=True
-        ):
-            bucket.refill(now)
-            bucket.rate = rate
-            bucket.burst = self._burst(rate)
-        return pair
+            self._by_key[key] = account
+        self._set_rate(account.requests, allowance.requests_per_s, now)
+        self._set_rate(account.volume, allowance.tokens_per_s, now)
+        account.share.rate = allowance.share_tokens_per_s
+        return account
+
+    def _set_rate(self, bucket: Bucket, rate: float, now: float) -> None:
+        bucket.refill(now)
+        bucket.rate = rate
+        bucket.burst = self._burst(rate)
 
     def _burst(self, rate: float) -> float:
         return max(1.0, rate * self.BURST_S)
--- a/src/foxtailsaddle/core/_liveness.py
+++ b/src/foxtailsaddle/core/_liveness.py
@@ -15,7 +15,7 @@
     incarnation: str = ""
     heard_at: float = float("-inf")
     leaving: bool = False
-    failed_until: float = float("-inf")
+    failed_at: float = float("-inf")
 
 
 class Liveness:
@@ -24,8 +24,6 @@
     :param bound_s: age in seconds past which a "live" no longer counts.
     """
 
-    FAILURE_PAUSE_S = 1.0
-
     def __init__(self, bound_s: float) -> None:
         self._bound_s = bound_s
         self._word_by_id: dict[EndpointId, _Word] = {}
@@ -43,7 +41,7 @@
                 return
             word.incarnation = incarnation
             word.leaving = False
-            word.failed_until = float("-inf")
+            word.failed_at = float("-inf")
         word.leaving = word.leaving or leaving
         word.heard_at = max(word.heard_at, at)
 
@@ -55,13 +53,16 @@
             word.leaving = True
 
     def failed(self, endpoint: EndpointId, now: float) -> None:
-        """Keep new work away for a moment after an exchange has failed."""
-        self._word(endpoint).failed_until = now + self.FAILURE_PAUSE_S
+        """Keep new work away until the endpoint gives a later word.
+
+        A dead endpoint has an empty book, so it would look like the best.
+        """
+        self._word(endpoint).failed_at = now
 
     def may_get_work(self, endpoint: EndpointId, now: float) -> bool:
         """Return whether the endpoint is known to be live and staying."""
         word = self._word_by_id.get(endpoint)
-        if word is None or word.leaving or now < word.failed_until:
+        if word is None or word.leaving or word.heard_at <= word.failed_at:
             return False
         return now - word.heard_at <= self._bound_s
 
--- a/src/foxtailsaddle/core/_settings.py
+++ b/src/foxtailsaddle/core/_settings.py
@@ -42,6 +42,12 @@
     tokens_per_s: float = pydantic.Field(
         10_000_000, gt=0, description="Admitted tokens per second, over all instances."
     )
+    fleet_share: float = pydantic.Field(
+        0.25,
+        gt=0,
+        le=1,
+        description="Share of a service past which the account's prompts rank later.",
+    )
     max_concurrent: int = pydantic.Field(
         1000, gt=0, description="Requests at the same time at one instance."
     )
@@ -108,6 +114,15 @@
     )
     endpoints: dict[EndpointId, Endpoint] = {}
 
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """Prefill rate of all endpoints that are not withdrawn."""
+        return sum(
+            endpoint.prefill_tokens_per_s
+            for endpoint in self.endpoints.values()
+            if not endpoint.withdrawn
+        )
+
 
 class Account(StrictModel):
     """A client account: hashes of its keys, and what it overrides."""
--- a/src/foxtailsaddle/ports/_peers.py
+++ b/src/foxtailsaddle/ports/_peers.py
@@ -91,6 +91,13 @@
     attempt: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """Tells an owner that an exchange with its endpoint has failed."""
+
+    endpoint: EndpointId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantRequest:
     """Asks an account's home to admit one request."""
@@ -99,13 +106,19 @@
     tokens: float
     requests_per_s: float
     tokens_per_s: float
+    share_tokens_per_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantReply:
-    """Zero when admitted, else the seconds to wait."""
+    """The home's word on a request.
+
+    :param wait_s: zero when admitted, else the seconds to wait.
+    :param lag_s: seconds by which the prompt ranks later.
+    """
 
     wait_s: float
+    lag_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,6 +179,7 @@
     | Placed
     | Prefilled
     | Released
+    | Failed
     | GrantRequest
     | GrantReply
     | StartRequest
--- a/standins/world.py
+++ b/standins/world.py
@@ -5,6 +5,7 @@
 import typing as t
 
 import trio
+import trio._core._run as trio_run
 import trio.testing
 from opentelemetry import trace
 
@@ -251,12 +252,18 @@
         return tree
 
 
-def run_world(scenario: Scenario, **options: t.Any) -> None:
-    """Run a scenario against a new world, in virtual time."""
+def run_world(scenario: Scenario, seed: int = 1, **options: t.Any) -> None:
+    """Run a scenario against a new world, in virtual time.
+
+    :param seed: of every random choice, the scheduler's included, so that the
+        same run has the same course each time.
+    """
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio_run._r.seed(seed)
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            world = World(nursery, **options)
+            world = World(nursery, seed=seed, **options)
             await world.start()
             await scenario(world)
             nursery.cancel_scope.cancel()
