Operators' command line; refused changes leave no trace

Cause: operators had only HTTP. Building the commands found two faults: - overrides had lost the bounds of the policy's fields, so stall_s: -1 was accepted; they now carry the fields' constraints. - the merge-patch library patches in place, so a refused change stayed in the instance's own document and made every later change fail; a copy is patched.

--- a/src/foxtailsaddle/cli/_main.py
+++ b/src/foxtailsaddle/cli/_main.py
@@ -1,17 +1,36 @@
 """Commands of foxtailsaddle."""
 
-import json
+import json as json_module
 import sys
 
 import fire
 
 from ..errors import FoxtailsaddleError
+from . import _operator
 
 EXIT_FAILED = 1
+EXIT_CONFLICT = 3
+EXIT_NOT_IN_FORCE = 4
+EXIT_BY_CODE = {
+    "settings_conflict": EXIT_CONFLICT,
+    "not_in_force": EXIT_NOT_IN_FORCE,
+}
 
 
 class Commands:
-    """foxtailsaddle: a serving layer for prompts of very unlike lengths."""
+    """foxtailsaddle: a serving layer for prompts of very unlike lengths.
+
+    The groups speak to a running instance: give its --url and your --key, or
+    set FOXTAILSADDLE_URL and FOXTAILSADDLE_KEY.
+    """
+
+    settings = _operator.Settings
+    endpoints = _operator.Endpoints
+    instances = _operator.Instances
+    requests = _operator.Requests
+    ledger = _operator.Ledger
+    accounts = _operator.Accounts
+    services = _operator.Services
 
     def serve(self, config: str, log_level: str = "INFO") -> None:
         """Run one entry instance until SIGTERM or SIGINT.
@@ -34,15 +53,13 @@
             f"{len(tree.services)} services, {endpoints} endpoints"
         )
 
-    def explain(
-        self, file: str, account: str, service: str, as_json: bool = False
-    ) -> str:
+    def explain(self, file: str, account: str, service: str, json: bool = False) -> str:
         """Print each effective value and the level that set it."""
         from ..adapters import read_settings_file
 
         values = read_settings_file(file).tree.explain(account, service)
-        if as_json:
-            return json.dumps([item._asdict() for item in values])
+        if json:
+            return json_module.dumps([item._asdict() for item in values])
         return "\n".join(
             f"{item.name:20} {item.value!s:>14}  from {item.level}" for item in values
         )
@@ -51,7 +68,8 @@
 def main() -> None:
     """Run the command line; errors go to standard error with their code."""
     try:
-        fire.Fire(Commands, name="foxtailsaddle")
+        fire.Fire(Commands(), name="foxtailsaddle")
     except FoxtailsaddleError as error:
-        print(f"{error.code}: {error.message}", file=sys.stderr)
-        sys.exit(EXIT_FAILED)
+        code = getattr(error, "remote_code", error.code)
+        print(f"{code}: {error.message}", file=sys.stderr)
+        sys.exit(EXIT_BY_CODE.get(code, EXIT_FAILED))
--- a/src/foxtailsaddle/core/_revisions.py
+++ b/src/foxtailsaddle/core/_revisions.py
@@ -1,5 +1,6 @@
 """Revisions of the settings: an append-only log that is applied upwards only."""
 
+import copy
 import dataclasses
 import typing as t
 
@@ -69,8 +70,9 @@
 
 
 def patched(document: dict[str, t.Any], patch: dict[str, t.Any]) -> dict[str, t.Any]:
-    """Return ``document`` with a JSON merge patch applied."""
-    return json_merge_patch.merge(document, patch)
+    """Return a copy of ``document`` with a JSON merge patch applied."""
+    # The library patches in place, and a refused change must leave no trace.
+    return json_merge_patch.merge(copy.deepcopy(document), patch)
 
 
 def read_tree(document: dict[str, t.Any], source: str) -> Tree:
--- a/src/foxtailsaddle/core/_settings.py
+++ b/src/foxtailsaddle/core/_settings.py
@@ -62,7 +62,7 @@
     "PolicyOverrides",
     __base__=StrictModel,
     **{
-        name: (field.annotation | None, None)
+        name: (t.Annotated[(field.annotation, *field.metadata)] | None, None)
         for name, field in Policy.model_fields.items()
     },
 )
--- /dev/null
+++ b/tests/test_revisions.py
@@ -0,0 +1,32 @@
+"""Revisions of the settings."""
+
+import pytest
+
+from foxtailsaddle.core import Revision, RevisionLog, patched, read_tree
+from foxtailsaddle.errors import SettingsError
+
+
+class TestRevisionLog:
+    def test_applies_upwards_only_and_without_gaps(self):
+        log = RevisionLog(8.0)
+        first = Revision(1, "a", "ann", {"base": {"stall_s": 2}}, 0)
+        third = Revision(3, "c", "ann", {"base": {"stall_s": 9}}, 0)
+        assert log.apply(first)
+        assert not log.apply(third)
+        assert not log.adopt(1, {})
+        assert log.tree.base.stall_s == 2
+
+    def test_a_refused_patch_leaves_no_trace(self):
+        document = {"base": {"stall_s": 2}}
+        with pytest.raises(SettingsError, match=r"base\.stall_s"):
+            read_tree(patched(document, {"base": {"stall_s": -1}}), "change")
+        assert document == {"base": {"stall_s": 2}}
+
+    def test_confirmation_ages(self):
+        log = RevisionLog(8.0)
+        log.apply(Revision(1, "a", "ann", {}, 0))
+        log.confirm(1, 100.0)
+        assert log.is_confirmed(108.0)
+        assert not log.is_confirmed(108.1)
+        log.confirm(2, 200.0)
+        assert not log.is_confirmed(200.0)
