Orders under leases with fencing numbers; spares load a lost model

Cause: nobody gave orders to engines, and a lost endpoint's model stayed lost. Options weighed: a step as an order (a late one changes the state twice), the desired state (taken); renewing a lease for ever, or taking it when an order is due (taken: fewer writes). Change: a lease per endpoint with a number that grows with each holder; a send needs enough of the lease left; engines that check refuse the rest; before those that don't, a successor waits out a send's bound and the state is read back. What remains: such an engine takes an order that was paused between the check and the send, until it is read back (seen in a test, 1 s between read-backs).

--- a/src/foxtailsaddle/adapters/_endpoints_http.py
+++ b/src/foxtailsaddle/adapters/_endpoints_http.py
@@ -97,6 +97,14 @@
                 f'endpoint at "{url}" answered {status}', verdict=Verdict.MAY_HAVE_RUN
             )
 
+    async def order(self, url: str, number: int, models: tuple[str, ...]) -> bool:
+        """Order the engine to have these models; false for an old number."""
+        body = {"number": number, "models": list(models)}
+        status = await self._command("POST", f"{url}/orders", body)
+        if status not in (200, 409):
+            raise ExchangeBrokenError(f'endpoint at "{url}" answered {status}')
+        return status == 200
+
     async def _command(self, method: str, url: str, body: t.Any) -> int:
         request = HttpRequest(
             method,
@@ -123,6 +131,7 @@
             remaining_by_attempt=data["remaining_by_attempt"],
             held_tokens=data["held_tokens"],
             age_s=data["age_s"],
+            models=tuple(data.get("models", ())),
         )
 
 
--- a/src/foxtailsaddle/adapters/_telemetry.py
+++ b/src/foxtailsaddle/adapters/_telemetry.py
@@ -53,6 +53,9 @@
         self.peers = self._new(
             Gauge, "live_instances", "Live instances, this one included."
         )
+        self.cold_starts = self._new(
+            Counter, "cold_starts_total", "Loads of a model that were ordered."
+        )
         self.orphans = self._new(
             Counter, "orphans_cancelled_total", "Attempts cancelled for nobody."
         )
--- a/src/foxtailsaddle/app/_application.py
+++ b/src/foxtailsaddle/app/_application.py
@@ -18,7 +18,9 @@
 from ._journal import Journal
 from ._ledger_keeper import LedgerKeeper
 from ._operator_web import OperatorWeb
+from ._orders import OrderDesk
 from ._peering import Peering
+from ._placement import Placement
 from ._plain_gateway import PlainGateway
 from ._router import Router
 from ._settings_keeper import SettingsKeeper
@@ -69,6 +71,10 @@
             self.limits,
             self.crashes,
         )
+        self.orders = OrderDesk(env)
+        self.placement = Placement(
+            env, self.keeper, self.members, self.liveness, self.orders
+        )
         self.ledger: LedgerKeeper | None = None
         self.gateway: Gateway | None = None
         self.web: CallerWeb | None = None
@@ -93,6 +99,7 @@
         background.start_soon(self.peering.beat_forever)
         background.start_soon(self.peering.watch_list)
         background.start_soon(self.watcher.watch)
+        background.start_soon(self.placement.run)
         logger.info("app: started")
 
     def drain(self) -> None:
--- a/src/foxtailsaddle/app/_watcher.py
+++ b/src/foxtailsaddle/app/_watcher.py
@@ -1,6 +1,7 @@
 """Polls the endpoints that this instance owns, and reaps their orphans."""
 
 import logging
+import typing as t
 
 import trio
 
@@ -9,6 +10,7 @@
     EndpointId,
     Liveness,
     Members,
+    ServiceId,
     ServiceKind,
     orphans,
 )
@@ -21,6 +23,8 @@
 
 MS_PER_S = 1000
 
+Poll = t.Callable[[ServiceId, EndpointId, Endpoint], t.Awaitable[None]]
+
 
 class EndpointWatcher:
     """Keeps word of the owned endpoints fresh."""
@@ -48,7 +52,7 @@
     async def poll(self) -> None:
         """Poll each owned endpoint once."""
         async with trio.open_nursery() as nursery:
-            for service in self._keeper.log.tree.services.values():
+            for service_id, service in self._keeper.log.tree.services.items():
                 for endpoint_id, endpoint in service.endpoints.items():
                     if self._router.owner(endpoint_id) != self._members.own.id:
                         continue
@@ -57,28 +61,43 @@
                         if service.kind is ServiceKind.MODEL
                         else self._poll_plain
                     )
-                    nursery.start_soon(self._guarded, poll, endpoint_id, endpoint)
+                    nursery.start_soon(
+                        self._guarded, poll, service_id, endpoint_id, endpoint
+                    )
 
-    async def _guarded(self, poll, endpoint_id: EndpointId, endpoint: Endpoint) -> None:
+    async def _guarded(
+        self,
+        poll: Poll,
+        service_id: ServiceId,
+        endpoint_id: EndpointId,
+        endpoint: Endpoint,
+    ) -> None:
         try:
-            await poll(endpoint_id, endpoint)
+            await poll(service_id, endpoint_id, endpoint)
         except FoxtailsaddleError as error:
             logger.info(
                 "endpoints: no word",
                 extra={"endpoint": endpoint_id, "error": error.message},
             )
 
-    async def _poll_model(self, endpoint_id: EndpointId, endpoint: Endpoint) -> None:
+    async def _poll_model(
+        self, service_id: ServiceId, endpoint_id: EndpointId, endpoint: Endpoint
+    ) -> None:
         asked_at = self._env.clock.now()
         report = await self._env.models.load(endpoint.url)
-        self._liveness.heard(endpoint_id, report.incarnation, report.leaving, asked_at)
+        if not endpoint.spare or service_id in report.models:
+            self._liveness.heard(
+                endpoint_id, report.incarnation, report.leaving, asked_at
+            )
         book = self._router.book(endpoint_id)
         if book is not None:
             age_s = report.age_s + self._env.clock.now() - asked_at
             book.correct(report.remaining_by_attempt, age_s)
         await self._reap(endpoint_id, endpoint, list(report.remaining_by_attempt))
 
-    async def _poll_plain(self, endpoint_id: EndpointId, endpoint: Endpoint) -> None:
+    async def _poll_plain(
+        self, service_id: ServiceId, endpoint_id: EndpointId, endpoint: Endpoint
+    ) -> None:
         asked_at = self._env.clock.now()
         incarnation, leaving = await self._env.plain.health(endpoint.url)
         self._liveness.heard(endpoint_id, incarnation, leaving, asked_at)
--- a/src/foxtailsaddle/core/__init__.py
+++ b/src/foxtailsaddle/core/__init__.py
@@ -11,6 +11,7 @@
     InstanceId,
     ServiceId,
 )
+from ._leases import Lease, next_lease
 from ._ledger import Entry, EntryState, Finding, Outcome, closing, find
 from ._limits import (
     Allowance,
@@ -61,6 +62,7 @@
     "HomeLimits",
     "InstanceId",
     "InstanceSettings",
+    "Lease",
     "Listen",
     "Liveness",
     "Member",
@@ -87,6 +89,7 @@
     "find",
     "group_capacity",
     "may_retry",
+    "next_lease",
     "orphans",
     "owner_of",
     "patched",
--- a/src/foxtailsaddle/core/_settings.py
+++ b/src/foxtailsaddle/core/_settings.py
@@ -96,7 +96,12 @@
     withdrawn: bool = pydantic.Field(
         False, description="True keeps new work away from the endpoint."
     )
-    orders: OrderCheck = OrderCheck.CHECKED
+    spare: bool = pydantic.Field(
+        False, description="True: it gets work once it reports the model as loaded."
+    )
+    orders: OrderCheck = pydantic.Field(
+        OrderCheck.CHECKED, description="Whether it refuses an old fencing number."
+    )
 
 
 class Service(StrictModel):
@@ -112,6 +117,9 @@
     outcome_path: str | None = pydantic.Field(
         None, description="Path of a plain service that tells what an attempt did."
     )
+    wanted: int = pydantic.Field(
+        0, ge=0, description="Live endpoints below which a spare loads the model."
+    )
     endpoints: dict[EndpointId, Endpoint] = {}
 
     @property
--- a/src/foxtailsaddle/errors.py
+++ b/src/foxtailsaddle/errors.py
@@ -182,6 +182,13 @@
     status = 412
 
 
+class LeaseLostError(FoxtailsaddleError):
+    """The lease on an endpoint is another's, or has lapsed."""
+
+    code = "lease_lost"
+    status = 409
+
+
 class NothingSentError(FoxtailsaddleError):
     """No byte of a request was written to the other side.
 
--- a/src/foxtailsaddle/ports/_endpoints.py
+++ b/src/foxtailsaddle/ports/_endpoints.py
@@ -56,6 +56,7 @@
     """An engine's own, lagging, report.
 
     :param remaining_by_attempt: prefill tokens left, of every held attempt.
+    :param models: that are loaded.
     :param age_s: age of the report when it was sent, in seconds.
     """
 
@@ -64,6 +65,7 @@
     remaining_by_attempt: dict[str, float]
     held_tokens: int
     age_s: float
+    models: tuple[str, ...] = ()
 
 
 class ModelEndpoints(t.Protocol):
@@ -107,6 +109,12 @@
         :raises FoxtailsaddleError: the engine did not answer.
         """
 
+    async def order(self, url: str, number: int, models: tuple[str, ...]) -> bool:
+        """Order the engine to have these models; false for an old number.
+
+        :raises FoxtailsaddleError: the engine did not answer.
+        """
+
     async def load(self, url: str) -> LoadReport:
         """Return the engine's report.
 
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -58,6 +58,7 @@
     :param crash_marker: the engine crashes at a prompt that holds this text.
     :param crossed: each stream also carries another attempt's tokens.
     :param keepalive_s: time between comments on a waiting stream; 0 for none.
+    :param load_model_s: time that loading a model's weights takes.
     :param cache_lag_s: how late cache events are published.
     :param cache_gap_every: each so many-th cache event is lost; 0 for none.
     """
@@ -67,6 +68,7 @@
     crash_marker: str = ""
     crossed: bool = False
     keepalive_s: float = 1.0
+    load_model_s: float = 3.0
     cache_lag_s: float = 0.5
     cache_gap_every: int = 0
 
@@ -130,7 +132,8 @@
         self.leaving = False
         self.order_number = 0
         self.orders: list[dict[str, t.Any]] = []
-        self.models: set[str] = set()
+        self._wanted_models: set[str] = set()
+        self._load_until = 0.0
         self.by_attempt: dict[str, Sequence] = {}
         self.reserved_by_name: dict[str, int] = {}
         self.ran: collections.deque[tuple[str, int]] = collections.deque(
@@ -232,10 +235,17 @@
             return False
         self.order_number = max(self.order_number, order["number"])
         self.orders.append(order)
-        if order["kind"] == "load_model":
-            self.models.add(order["model"])
+        self._load_until = trio.current_time() + self.knobs.load_model_s
+        self._wanted_models = set(order["models"])
         return True
 
+    @property
+    def models(self) -> set[str]:
+        """The models that are loaded by now."""
+        if trio.current_time() < self._load_until:
+            return set()
+        return self._wanted_models
+
     def load(self) -> dict[str, t.Any]:
         """Return the load report, as old as the lag makes it."""
         now = trio.current_time()
@@ -301,6 +311,7 @@
             "incarnation": self.incarnation,
             "remaining_by_attempt": {**reserved, **remaining},
             "held_tokens": self.held_tokens,
+            "models": sorted(self.models),
         }
 
     def _step_work(self) -> bool:
--- a/standins/world.py
+++ b/standins/world.py
@@ -52,11 +52,13 @@
         instance: dict[str, t.Any] | None = None,
         latency_s: float = 0.0005,
         capacity_tokens: int = 400_000,
+        checks_orders: bool = True,
     ) -> None:
         self._nursery = nursery
         self._random = random.Random(seed)
         self._instance_overrides = instance or {}
         self._capacity_tokens = capacity_tokens
+        self._checks_orders = checks_orders
         self.network = Network(latency_s)
         self.platform = PlatformModel()
         self.engine_by_name: dict[str, EngineModel] = {}
@@ -92,7 +94,12 @@
     def start_engine(self, name: str) -> None:
         """Start an engine, or start it again with empty memory."""
         incarnation = f"{trio.current_time():012.3f}"
-        model = EngineModel(incarnation, lambda: self.kill(name), self._capacity_tokens)
+        model = EngineModel(
+            incarnation,
+            lambda: self.kill(name),
+            self._capacity_tokens,
+            checks_orders=self._checks_orders,
+        )
         if name in self.engine_by_name:
             self.retired.append(self.engine_by_name[name])
         self.engine_by_name[name] = model
