Routing knows what the engines have cached

Cause: a second question about the same long history was prefilled in full (over 1.9 s for 40,000 tokens) because nobody looked at the cache events. Options weighed: remembering where a prompt went (wrong after evictions and restarts); all block digests in a quote request (16 KB for a million tokens); eight evenly spaced prefixes, 8 bytes each (taken). Change: owners follow the engines' events, notice gaps and restarts and then read the whole list; digests are salted by client account.

--- a/src/foxtailsaddle/adapters/_endpoints_http.py
+++ b/src/foxtailsaddle/adapters/_endpoints_http.py
@@ -6,7 +6,7 @@
 
 import sseclient
 
-from ..core import AttemptId, Verdict
+from ..core import AttemptId, CacheEvent, Verdict, short_digest
 from ..errors import EndpointFailedError, ExchangeBrokenError
 from ..ports import (
     AttemptState,
@@ -105,6 +105,28 @@
             raise ExchangeBrokenError(f'endpoint at "{url}" answered {status}')
         return status == 200
 
+    async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
+        """Return the published cache events behind a number."""
+        data = await self._query(f"{url}/kv/events?after={after}")
+        return [
+            CacheEvent(number, kind == "stored", short_digest(bytes.fromhex(block)))
+            for number, kind, block in data["events"]
+        ]
+
+    async def cached_blocks(self, url: str) -> tuple[int, list[int]]:
+        """Return the last event's number and the digests of all cached blocks."""
+        data = await self._query(f"{url}/kv/blocks")
+        digests = [short_digest(bytes.fromhex(block)) for block in data["blocks"]]
+        return data["head"], digests
+
+    async def _query(self, url: str) -> t.Any:
+        request = HttpRequest("GET", url, connect_s=QUERY_S, idle_s=QUERY_S)
+        async with self._client.exchange(request) as response:
+            body = await response.read()
+        if response.status != 200:
+            raise ExchangeBrokenError(f'"{url}" answered {response.status}')
+        return _json(body, url)
+
     async def _command(self, method: str, url: str, body: t.Any) -> int:
         request = HttpRequest(
             method,
@@ -121,10 +143,7 @@
 
     async def load(self, url: str) -> LoadReport:
         """Return the engine's report."""
-        request = HttpRequest("GET", f"{url}/load", connect_s=QUERY_S, idle_s=QUERY_S)
-        async with self._client.exchange(request) as response:
-            body = await response.read()
-        data = _json(body, url)
+        data = await self._query(f"{url}/load")
         return LoadReport(
             incarnation=data["incarnation"],
             leaving=data["leaving"],
--- a/src/foxtailsaddle/adapters/peers.capnp
+++ b/src/foxtailsaddle/adapters/peers.capnp
@@ -38,6 +38,8 @@
   waitedS @3 :Float64;
   without @4 :List(Text);
   suspect @5 :Bool;
+  probeBlocks @6 :List(UInt32);
+  probeDigests @7 :List(UInt64);
 }
 
 struct QuoteReply {
@@ -46,6 +48,7 @@
   ownS @2 :Float64;
   incarnation @3 :Text;
   behindS @4 :Float64;
+  cachedTokens @5 :UInt64;
 }
 
 struct Placed {
--- a/src/foxtailsaddle/app/_attempts.py
+++ b/src/foxtailsaddle/app/_attempts.py
@@ -7,7 +7,7 @@
 import trio
 
 from ..adapters import length_class
-from ..core import AttemptId, EndpointId, Quote, rank_of
+from ..core import AttemptId, EndpointId, Probe, Quote, rank_of
 from ..errors import (
     EndpointFailedError,
     ExchangeBrokenError,
@@ -44,6 +44,7 @@
     """A prompt as a caller sent it.
 
     :param tokens: estimate of the prompt's length.
+    :param probes: prefixes of the prompt, to look for in the engines' caches.
     """
 
     prompt: str
@@ -51,6 +52,7 @@
     options: t.Mapping[str, t.Any]
     max_tokens: int
     tokens: int
+    probes: tuple[Probe, ...] = ()
 
     @property
     def held_tokens(self) -> int:
@@ -97,9 +99,9 @@
         """
         attempt = trip.attempt
         url = self._router.find(quote.endpoint).url
-        own_tokens = call.tokens - imported_tokens
+        own_tokens = call.tokens - imported_tokens - quote.cached_tokens
         self._router.place(self.placed(quote.endpoint, call, trip, own_tokens))
-        job = self._job(call, trip, answer, imported_tokens)
+        job = self._job(call, trip, own_tokens, imported_tokens)
         reached = True
         try:
             await self._stream_whole(quote, url, job, trip, answer)
@@ -255,7 +257,7 @@
         return rank_of(arrived_at, tokens, NOMINAL_PREFILL_TOKENS_PER_S)
 
     def _job(
-        self, call: ModelCall, trip: Trip, answer: Answer, imported_tokens: int
+        self, call: ModelCall, trip: Trip, own_tokens: int, imported_tokens: int
     ) -> ModelJob:
         return ModelJob(
             model=trip.service,
@@ -263,11 +265,9 @@
             messages=call.messages,
             options=call.options,
             max_tokens=call.max_tokens,
-            priority=self.priority(call.tokens - imported_tokens, trip),
+            priority=self.priority(own_tokens, trip),
             salt=trip.account,
             imported_tokens=imported_tokens,
-            resume_from=answer.count,
-            resume_text="".join(answer.text),
         )
 
 
--- a/src/foxtailsaddle/app/_gateway.py
+++ b/src/foxtailsaddle/app/_gateway.py
@@ -233,6 +233,7 @@
             waited_s=trip.ranked_wait_s,
             without=trip.failed,
             suspect=trip.suspect,
+            probes=call.probes,
         )
 
     def _count_attempt(self, endpoint: str, result: str) -> None:
--- a/src/foxtailsaddle/app/_router.py
+++ b/src/foxtailsaddle/app/_router.py
@@ -13,6 +13,8 @@
     Liveness,
     Members,
     Placement,
+    PrefixIndex,
+    Probe,
     Quote,
     ServiceId,
     Tree,
@@ -33,6 +35,7 @@
 class Wish:
     """A prompt that looks for an endpoint.
 
+    :param probes: prefixes of the prompt, to look for in the engines' caches.
     :param waited_s: seconds since it was admitted.
     :param without: endpoints that have failed it.
     :param suspect: an endpoint died while it ran this prompt.
@@ -44,6 +47,7 @@
     waited_s: float = 0.0
     without: frozenset[EndpointId] = frozenset()
     suspect: bool = False
+    probes: tuple[Probe, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,6 +76,7 @@
         self._members = members
         self._liveness = liveness
         self._book_by_endpoint: dict[EndpointId, Book] = {}
+        self._prefixes_by_endpoint: dict[EndpointId, PrefixIndex] = {}
         self._owner_map = _OwnerMap(-1, [], {})
 
     async def choose(self, wish: Wish) -> Quote | None:
@@ -98,6 +103,12 @@
             waited_s=request.waited_s,
             without=frozenset(map(EndpointId, request.without)),
             suspect=request.suspect,
+            probes=tuple(
+                Probe(blocks, digest)
+                for blocks, digest in zip(
+                    request.probe_blocks, request.probe_digests, strict=True
+                )
+            ),
         )
         owned = [
             endpoint
@@ -107,12 +118,13 @@
         pick = self._env.random.choice
         quote = best(self._quote_all(owned, wish), pick, lambda _: 0.0)
         if quote is None:
-            return QuoteReply("", 0.0, 0.0, 0.0, "")
+            return QuoteReply("", 0.0, 0.0, 0.0, 0, "")
         return QuoteReply(
             quote.endpoint,
             quote.wait_s,
             quote.own_s,
             quote.behind_s,
+            quote.cached_tokens,
             quote.incarnation,
         )
 
@@ -238,10 +250,26 @@
             return None
         if wish.suspect and book.has_suspect:
             return None
-        rank = rank_of(now - wish.waited_s, wish.tokens, book.rate)
-        quote = book.quote(wish.tokens, wish.held_tokens, rank, now)
-        incarnation = self._liveness.incarnation(endpoint)
-        return dataclasses.replace(quote, incarnation=incarnation)
+        cached = self._cached_tokens(endpoint, wish)
+        tokens = wish.tokens - cached
+        rank = rank_of(now - wish.waited_s, tokens, book.rate)
+        quote = book.quote(tokens, wish.held_tokens, rank, now)
+        return dataclasses.replace(
+            quote,
+            cached_tokens=cached,
+            incarnation=self._liveness.incarnation(endpoint),
+        )
+
+    def prefixes(self, endpoint: EndpointId) -> PrefixIndex:
+        """Return the index of what an endpoint has cached."""
+        return self._prefixes_by_endpoint.setdefault(endpoint, PrefixIndex())
+
+    def _cached_tokens(self, endpoint: EndpointId, wish: Wish) -> int:
+        if not wish.probes:
+            return 0
+        block_tokens = self._tree.services[wish.service].cache_block_tokens
+        blocks = self.prefixes(endpoint).cached_blocks(wish.probes)
+        return min(blocks * block_tokens, wish.tokens - 1)
 
     def _sample(self, by_owner: dict[InstanceId, list[EndpointId]]) -> list[InstanceId]:
         owners = list(by_owner)
@@ -265,6 +293,8 @@
             waited_s=wish.waited_s,
             without=tuple(sorted(wish.without)),
             suspect=wish.suspect,
+            probe_blocks=tuple(probe.blocks for probe in wish.probes),
+            probe_digests=tuple(probe.digest for probe in wish.probes),
         )
         timeout_s = self._env.settings.quote_timeout_s
         reply = await self._env.links.ask(member, request, timeout_s)
@@ -279,6 +309,7 @@
                     reply.wait_s,
                     reply.own_s,
                     reply.behind_s,
+                    reply.cached_tokens,
                     reply.incarnation,
                 )
             )
--- a/src/foxtailsaddle/app/_watcher.py
+++ b/src/foxtailsaddle/app/_watcher.py
@@ -42,6 +42,7 @@
         self._members = members
         self._liveness = liveness
         self._router = router
+        self._cached_by_endpoint: dict[EndpointId, str] = {}
 
     async def watch(self) -> None:
         """Poll for ever."""
@@ -94,6 +95,19 @@
             age_s = report.age_s + self._env.clock.now() - asked_at
             book.correct(report.remaining_by_attempt, age_s)
         await self._reap(endpoint_id, endpoint, list(report.remaining_by_attempt))
+        await self._follow_cache(endpoint_id, endpoint)
+
+    async def _follow_cache(self, endpoint_id: EndpointId, endpoint: Endpoint) -> None:
+        """Take in cache events; at a gap or a restart, the whole list."""
+        index = self._router.prefixes(endpoint_id)
+        incarnation = self._liveness.incarnation(endpoint_id)
+        events = await self._env.models.cache_events(endpoint.url, index.head)
+        restarted = self._cached_by_endpoint.get(endpoint_id) != incarnation
+        if not restarted and index.apply(events):
+            return
+        head, digests = await self._env.models.cached_blocks(endpoint.url)
+        index.replace(digests, head)
+        self._cached_by_endpoint[endpoint_id] = incarnation
 
     async def _poll_plain(
         self, service_id: ServiceId, endpoint_id: EndpointId, endpoint: Endpoint
--- a/src/foxtailsaddle/app/_web.py
+++ b/src/foxtailsaddle/app/_web.py
@@ -18,6 +18,7 @@
     Service,
     ServiceId,
     ServiceKind,
+    probes_of,
 )
 from ..errors import (
     BodyTooLargeError,
@@ -121,7 +122,7 @@
         service = self._gateway.service(service_id, ServiceKind.MODEL)
         policy = self._log.tree.policy(account, service_id)
         _check_length(raw, policy.max_body_bytes)
-        call = _model_call(body, service)
+        call = _model_call(body, service, account)
         if call.max_tokens > policy.max_output_tokens:
             raise RequestInvalidError(
                 f"max_tokens {call.max_tokens} is over {policy.max_output_tokens}"
@@ -262,7 +263,9 @@
     return body
 
 
-def _model_call(body: CompletionBody, service: Service) -> ModelCall:
+def _model_call(
+    body: CompletionBody, service: Service, account: AccountId
+) -> ModelCall:
     text = body.prompt or "\n".join(str(m.get("content", "")) for m in body.messages)
     tokens = max(1, int(len(text.encode()) / service.bytes_per_token))
     return ModelCall(
@@ -271,6 +274,7 @@
         options=dict(body.model_extra or {}),
         max_tokens=body.max_tokens,
         tokens=tokens,
+        probes=probes_of(text, account, service.cache_block_bytes),
     )
 
 
--- a/src/foxtailsaddle/core/__init__.py
+++ b/src/foxtailsaddle/core/__init__.py
@@ -24,6 +24,7 @@
 from ._liveness import Liveness
 from ._members import Member, Members, MemberState
 from ._ownership import owner_of
+from ._prefixes import CacheEvent, PrefixIndex, Probe, probes_of, short_digest
 from ._reaping import orphans
 from ._retries import RetryBudget, may_retry
 from ._revisions import Revision, RevisionLog, patched, read_tree
@@ -49,6 +50,7 @@
     "AttemptId",
     "Book",
     "Bucket",
+    "CacheEvent",
     "Candidate",
     "CrashGuard",
     "DataCentre",
@@ -72,6 +74,8 @@
     "Outcome",
     "Placement",
     "Policy",
+    "PrefixIndex",
+    "Probe",
     "Quote",
     "RecentRate",
     "RetryBudget",
@@ -94,7 +98,9 @@
     "owner_of",
     "patched",
     "plan_group",
+    "probes_of",
     "rank_of",
     "read_model",
     "read_tree",
+    "short_digest",
 ]
--- a/src/foxtailsaddle/core/_routing.py
+++ b/src/foxtailsaddle/core/_routing.py
@@ -46,6 +46,7 @@
     """Predicted seconds to the first token at one endpoint.
 
     :param behind_s: work at the endpoint that would run after this prompt.
+    :param cached_tokens: of the prompt, whose prefix the endpoint has cached.
     :param incarnation: the endpoint's, as its owner last heard.
     """
 
@@ -53,6 +54,7 @@
     wait_s: float
     own_s: float
     behind_s: float = 0.0
+    cached_tokens: int = 0
     incarnation: str = ""
 
     @property
--- a/src/foxtailsaddle/core/_settings.py
+++ b/src/foxtailsaddle/core/_settings.py
@@ -117,11 +117,19 @@
     outcome_path: str | None = pydantic.Field(
         None, description="Path of a plain service that tells what an attempt did."
     )
+    cache_block_tokens: int = pydantic.Field(
+        1024, gt=0, description="Tokens in one block of the engines' prefix cache."
+    )
     wanted: int = pydantic.Field(
         0, ge=0, description="Live endpoints below which a spare loads the model."
     )
     endpoints: dict[EndpointId, Endpoint] = {}
 
+    @property
+    def cache_block_bytes(self) -> int:
+        """Bytes of a prompt's text in one block of the prefix cache."""
+        return int(self.cache_block_tokens * self.bytes_per_token)
+
     @property
     def prefill_tokens_per_s(self) -> float:
         """Prefill rate of all endpoints that are not withdrawn."""
--- a/src/foxtailsaddle/ports/_endpoints.py
+++ b/src/foxtailsaddle/ports/_endpoints.py
@@ -5,7 +5,7 @@
 import typing as t
 from enum import Enum
 
-from ..core import AttemptId, Verdict
+from ..core import AttemptId, CacheEvent, Verdict
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +115,18 @@
         :raises FoxtailsaddleError: the engine did not answer.
         """
 
+    async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
+        """Return the published cache events behind a number.
+
+        :raises FoxtailsaddleError: the engine did not answer.
+        """
+
+    async def cached_blocks(self, url: str) -> tuple[int, list[int]]:
+        """Return the last event's number and the digests of all cached blocks.
+
+        :raises FoxtailsaddleError: the engine did not answer.
+        """
+
     async def load(self, url: str) -> LoadReport:
         """Return the engine's report.
 
--- a/src/foxtailsaddle/ports/_peers.py
+++ b/src/foxtailsaddle/ports/_peers.py
@@ -41,7 +41,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuoteRequest:
-    """Asks an owner for its best endpoint for a prompt."""
+    """Asks an owner for its best endpoint for a prompt.
+
+    :param probe_blocks: lengths of some prefixes of the prompt, in blocks.
+    :param probe_digests: their digests, in the same order.
+    """
 
     service: str
     tokens: int
@@ -49,6 +53,8 @@
     waited_s: float
     without: tuple[str, ...]
     suspect: bool
+    probe_blocks: tuple[int, ...] = ()
+    probe_digests: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +65,7 @@
     wait_s: float
     own_s: float
     behind_s: float
+    cached_tokens: int
     incarnation: str
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -35,6 +35,7 @@
                 Route(attempt, self._state),
                 Route(attempt + "/cancel", self._cancel, methods=post),
                 Route("/kv/events", self._events),
+                Route("/kv/blocks", self._blocks),
                 Route("/kv/{name}", self._reserve, methods=["PUT"]),
                 Route("/kv/{name}/prefill", self._prefill, methods=post),
                 Route("/load", self._load),
@@ -115,6 +116,11 @@
         after = int(request.query_params.get("after", 0))
         return JSONResponse({"events": self.model.events_after(after)})
 
+    async def _blocks(self, request: Request) -> Response:
+        await self.model.knobs.before()
+        head, blocks = self.model.blocks()
+        return JSONResponse({"head": head, "blocks": blocks})
+
     async def _order(self, request: Request) -> Response:
         await self.model.knobs.before()
         if not self.model.order(await read_json(request)):
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -263,6 +263,10 @@
             if event > number and at <= before
         ]
 
+    def blocks(self) -> tuple[int, list[str]]:
+        """Return the number of the last event and all cached blocks."""
+        return self._cache_number, [block.hex() for block in self.cache]
+
     async def tokens(
         self, sequence: Sequence, offset: int
     ) -> t.AsyncIterator[tuple[int, str | None]]:
