--- a/Makefile
+++ b/Makefile
@@ -36,10 +36,10 @@
 	$(BIN)/python -m tests.fuzz --seed $(SEED) --minutes $(MINUTES)
 
 docs: $(STAMP)
-	$(BIN)/python -m docs.generate
+	$(BIN)/python docs/generate.py
 
 docs-check: $(STAMP)
-	$(BIN)/python -m docs.generate --check
+	$(BIN)/python docs/generate.py --check
 
 clean:
 	rm -rf $(VENV) build dist demo/run
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -118,6 +118,24 @@
         row(f"one decision, {count} endpoints in one instance's books", took, "µs")
 
 
+async def measure_decision() -> None:
+    """Time both sides of a decision, less the messages, at target sizes."""
+    for instances, endpoints in ((7, 25), (330, 670)):
+        app = new_application(endpoints)
+        now = trio.current_time()
+        for number in range(instances - 1):
+            app.members.merge(member(number), now)
+        for number in range(endpoints):
+            app.liveness.heard(EndpointId(f"e{number}"), "1", False, now)
+        request = QuoteRequest("drafts", 4000, 4256, 0.0, (), False)
+        app.router.answer(request)
+        name = f"{endpoints} endpoints, {instances} instances"
+        took = timed_us(lambda a=app, r=request: a.router.answer(r), 500)
+        row(f"an owner's quote, {name}", took, "µs")
+        took = timed_us(lambda a=app: dict(a.router._owned(ServiceId("drafts"))), 500)
+        row(f"the asker's look at the owners, {name}", took, "µs")
+
+
 async def measure_gossip() -> None:
     """Measure a heartbeat's size and work against the number of members."""
     for count in MEMBER_COUNTS:
@@ -277,6 +295,7 @@
 def main() -> None:
     """Measure and print everything."""
     trio.run(measure_routing)
+    trio.run(measure_decision)
     trio.run(measure_gossip)
     measure_staleness()
     measure_messages()
--- a/src/foxtailsaddle/app/_router.py
+++ b/src/foxtailsaddle/app/_router.py
@@ -29,6 +29,7 @@
 logger = logging.getLogger("foxtailsaddle.routing")
 
 OTHER_DATA_CENTRE_S = 0.001
+OWNER_MAP_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,9 +53,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _OwnerMap:
+    """Who owns which endpoint, under one revision and one view of the owners."""
+
     revision: int
     owners: list[InstanceId]
-    by_endpoint: dict[EndpointId, InstanceId]
+    checked_at: float
+    by_endpoint: dict[EndpointId, InstanceId] = dataclasses.field(default_factory=dict)
+    owned_by_service: dict[ServiceId, dict[InstanceId, list[EndpointId]]] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 class Router:
@@ -77,14 +84,11 @@
         self._liveness = liveness
         self._book_by_endpoint: dict[EndpointId, Book] = {}
         self._prefixes_by_endpoint: dict[EndpointId, PrefixIndex] = {}
-        self._owner_map = _OwnerMap(-1, [], {})
+        self._owner_map = _OwnerMap(-1, [], float("-inf"))
 
     async def choose(self, wish: Wish) -> Quote | None:
         """Return the best quote of all owners that answer in time."""
-        endpoints = self.endpoints(wish.service)
-        by_owner: dict[InstanceId, list[EndpointId]] = {}
-        for endpoint in endpoints:
-            by_owner.setdefault(self.owner(endpoint), []).append(endpoint)
+        by_owner = dict(self._owned(wish.service))
         own_id = self._members.own.id
         quotes = self._quote_all(by_owner.pop(own_id, []), wish)
         asked = self._sample(by_owner)
@@ -92,7 +96,7 @@
             for owner in asked:
                 nursery.start_soon(self._ask, owner, by_owner[owner], wish, quotes)
         pick = self._env.random.choice
-        return best(quotes, pick, lambda q: self._distance_s(endpoints[q.endpoint]))
+        return best(quotes, pick, self._distance_s)
 
     def answer(self, request: QuoteRequest) -> QuoteReply:
         """Return the best of the endpoints that this instance owns."""
@@ -110,11 +114,7 @@
                 )
             ),
         )
-        owned = [
-            endpoint
-            for endpoint in self.endpoints(wish.service)
-            if self.owner(endpoint) == self._members.own.id
-        ]
+        owned = self._owned(wish.service).get(self._members.own.id, [])
         pick = self._env.random.choice
         quote = best(self._quote_all(owned, wish), pick, lambda _: 0.0)
         if quote is None:
@@ -209,17 +209,37 @@
 
     def owner(self, endpoint: EndpointId) -> InstanceId:
         """Return the instance that owns the endpoint's book."""
-        owners = self._members.owners(self._env.clock.now())
-        revision = self._keeper.log.number
-        cached = self._owner_map
-        if cached.revision != revision or cached.owners != owners:
-            cached = self._owner_map = _OwnerMap(revision, owners, {})
-        owner = cached.by_endpoint.get(endpoint)
+        current = self._current_owners()
+        owner = current.by_endpoint.get(endpoint)
         if owner is None:
-            owner = InstanceId(owner_of(endpoint, owners))
-            cached.by_endpoint[endpoint] = owner
+            owner = InstanceId(owner_of(endpoint, current.owners))
+            current.by_endpoint[endpoint] = owner
         return owner
 
+    def _owned(self, service: ServiceId) -> dict[InstanceId, list[EndpointId]]:
+        """Return a service's endpoints by their owner."""
+        current = self._current_owners()
+        owned = current.owned_by_service.get(service)
+        if owned is None:
+            owned = {}
+            for endpoint in self.endpoints(service):
+                owned.setdefault(self.owner(endpoint), []).append(endpoint)
+            current.owned_by_service[service] = owned
+        return owned
+
+    def _current_owners(self) -> _OwnerMap:
+        """Return the map of owners; the view behind it may be a moment old."""
+        now = self._env.clock.now()
+        current = self._owner_map
+        revision = self._keeper.log.number
+        if current.revision == revision and now - current.checked_at < OWNER_MAP_S:
+            return current
+        owners = self._members.owners(now)
+        if (current.revision, current.owners) != (revision, owners):
+            current = self._owner_map = _OwnerMap(revision, owners, now)
+        current.checked_at = now
+        return current
+
     @property
     def _tree(self) -> Tree:
         return self._keeper.log.tree
@@ -322,7 +342,8 @@
         if member is not None:
             self._env.links.tell(member, message)
 
-    def _distance_s(self, endpoint: Endpoint) -> float:
-        if endpoint.data_centre == self._env.settings.data_centre:
+    def _distance_s(self, quote: Quote) -> float:
+        endpoint = self.find(quote.endpoint)
+        if endpoint is None or endpoint.data_centre == self._env.settings.data_centre:
             return 0.0
         return OTHER_DATA_CENTRE_S
--- /dev/null
+++ b/tests/test_peer_links.py
@@ -0,0 +1,126 @@
+"""Peer links over real sockets."""
+
+from unittest import mock
+
+import trio
+
+from foxtailsaddle.adapters import TcpPeerLinks, _peer_links
+from foxtailsaddle.adapters._peer_codec import (
+    MAX_MESSAGE_BYTES,
+    Envelope,
+    decode,
+    encode,
+)
+from foxtailsaddle.core import DataCentre, InstanceId, Listen, Member, MemberState
+from foxtailsaddle.ports import (
+    EndpointWord,
+    Heartbeat,
+    QuoteReply,
+    QuoteRequest,
+    Suspicion,
+)
+from standins.fleet import HOST, free_ports
+
+REQUEST = QuoteRequest("drafts", 10, 20, 0.5, ("e1",), True, (1, 2), (2**63, 5))
+REPLY = QuoteReply("e2", 0.1, 0.2, 0.3, 4, "inc")
+
+
+def member(name: str, port: int) -> Member:
+    return Member(
+        id=InstanceId(name),
+        incarnation="1",
+        beat=3,
+        state=MemberState.LIVE,
+        address=f"{HOST}:{port}",
+        data_centre=DataCentre("riga-1"),
+        revision=4,
+    )
+
+
+async def answer(sender, message):
+    return REPLY if isinstance(message, QuoteRequest) else None
+
+
+class TestCodec:
+    def test_messages_read_back_as_written(self):
+        beat = Heartbeat(
+            members=(member("i1", 1), member("i2", 2)),
+            known_hashes=(1, 2**32 - 1),
+            known_beats=(5, 6),
+            known_revisions=(7, 8),
+            revision=9,
+            platform_age_s=-1.0,
+            words=(EndpointWord("e1", "inc", True, 0.25),),
+            suspicions=(Suspicion("f", "e1/inc"),),
+        )
+        for message in (beat, REQUEST, REPLY):
+            envelope = Envelope(InstanceId("i1"), message, id=7, reply_to=3)
+            assert decode(encode(envelope)[4:]) == envelope
+
+    def test_nonsense_is_refused(self):
+        for packed in (b"", b"\xff" * 40, encode(Envelope("i1", REPLY))[4:9]):
+            try:
+                decode(packed)
+            except ValueError:
+                continue
+            raise AssertionError(f"{packed!r} was read")
+
+
+class TestTcpPeerLinks:
+    def test_an_answer_comes_back(self):
+        async def main() -> None:
+            ports = free_ports(2)
+            one = TcpPeerLinks(InstanceId("i1"), Listen(port=ports[0]))
+            two = TcpPeerLinks(InstanceId("i2"), Listen(port=ports[1]))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(one.run, answer)
+                nursery.start_soon(two.run, answer)
+                await trio.sleep(0.1)
+                assert await one.ask(member("i2", ports[1]), REQUEST, 2) == REPLY
+                assert await two.ask(member("i1", ports[0]), REQUEST, 2) == REPLY
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_a_silent_peer_is_given_up_and_a_new_link_works(self):
+        async def main() -> None:
+            ports = free_ports(2)
+            one = TcpPeerLinks(InstanceId("i1"), Listen(port=ports[0]))
+            peer = member("i2", ports[1])
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(one.run, answer)
+                await trio.sleep(0.05)
+                silent = await trio.open_tcp_listeners(ports[1], host=HOST)
+                with trio.move_on_after(2):
+                    assert await one.ask(peer, REQUEST, 0.2) is None
+                await silent[0].aclose()
+                # The link is idle now; it closes after its bound.
+                await trio.sleep(0.5)
+                two = TcpPeerLinks(InstanceId("i2"), Listen(port=ports[1]))
+                nursery.start_soon(two.run, answer)
+                await trio.sleep(0.1)
+                assert await one.ask(peer, REQUEST, 2) == REPLY
+                nursery.cancel_scope.cancel()
+
+        with mock.patch.object(_peer_links, "SILENCE_S", 0.3):
+            trio.run(main)
+
+    def test_a_link_that_sends_nonsense_is_closed(self):
+        async def main() -> None:
+            (port,) = free_ports(1)
+            one = TcpPeerLinks(InstanceId("i1"), Listen(port=port))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(one.run, answer)
+                await trio.sleep(0.05)
+                for data in (
+                    (MAX_MESSAGE_BYTES + 1).to_bytes(4, "big"),
+                    b"\0\0\0\x04abcd",
+                ):
+                    stream = await trio.open_tcp_stream(HOST, port)
+                    await stream.send_all(data)
+                    with trio.fail_after(2):
+                        assert await stream.receive_some(10) == b""
+                assert await one.ask(member("i1", port), REQUEST, 2) == REPLY
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -654,3 +654,25 @@
 
     def test_rolling_over_all_instances_cuts_nothing(self):
         run_world(self.scenario)
+
+
+class TestSilentPlatform:
+    """A platform that takes connections and answers nothing holds nobody up."""
+
+    def test_calls_are_refused_and_prompts_go_on(self):
+        async def scenario(world: World) -> None:
+            world.platform.knobs.frozen = True
+            await trio.sleep(30)
+            url = world.url("i1")
+            prompt = await world.caller().complete(url, "hello", 4, 5.0)
+            assert prompt.code == "ok"
+            call = await world.caller().call(url, "sign", b"{}", "k", 10.0)
+            assert call.verdict == "not_run"
+            assert call.total_s <= 10.5
+            world.platform.knobs.frozen = False
+            await trio.sleep(20)
+            again = await world.caller().call(url, "sign", b"{}", "k", 5.0)
+            assert again.code == "ok"
+            history.check_at_most_once(world)
+
+        run_world(scenario)
