A change costs what it touches; plans run against real processes

Change: a patch shares what it does not touch and only touched accounts are validated. Ruled out: validating in a thread (it would hold the interpreter). A test compares five patches with reading everything anew.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
 from foxtailsaddle.errors import FoxtailsaddleError
 
 from .plan import Plan, read_plan
+from .real import run_real
 from .report import plot, print_table
 from .run import Result, fill_histograms, run_policy
 
@@ -28,10 +29,11 @@
     return results
 
 
-def main(plan: str, png: str = "", workers: int = 3) -> None:
+def main(plan: str, png: str = "", workers: int = 3, real: bool = False) -> None:
     """Run a plan.
 
     :param plan: the YAML file with the plan.
+    :param real: run the product alone, as processes in real time.
     :param workers: runs at the same time; they share nothing.
     :param png: where to draw the slowdowns by prompt length.
     """
@@ -40,7 +42,12 @@
     except FoxtailsaddleError as error:
         print(f"{error.code}: {error.message}", file=sys.stderr)
         sys.exit(1)
-    results = run_plan(read, workers)
+    if real:
+        results = [run_real(read, load) for load in read.loads]
+        for result in results:
+            fill_histograms(read, result)
+    else:
+        results = run_plan(read, workers)
     print_table(read, results)
     if png:
         plot(results, png)
--- /dev/null
+++ b/bench/real.py
@@ -0,0 +1,83 @@
+"""A plan against real processes, in real time."""
+
+import pathlib
+import tempfile
+import time
+
+import trio
+
+from foxtailsaddle.adapters import HttpcoreClient
+from standins.caller import Caller
+from standins.fleet import Fleet
+
+from .plan import Fault, Plan, PolicyName
+from .run import Arrival, Result, draw_arrivals, prompt_of, tree_of
+
+SETTLE_S = 2.0
+
+
+def run_real(plan: Plan, load: float) -> Result:
+    """Run the product as processes on this machine, with the plan's arrivals.
+
+    The stand-in engines keep their cost model, so a run takes as long as the
+    plan says. What this machine can't carry shows as a slowdown.
+    """
+    result = Result(PolicyName.PRODUCT, load, True, [])
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(
+            pathlib.Path(folder),
+            instances=plan.instances,
+            engines=plan.engines,
+            plains=0,
+            tree=tree_of(plan),
+            instance={"drain_s": 0.2, **plan.instance},
+        )
+        with fleet:
+            time.sleep(SETTLE_S)
+            trio.run(_send_all, fleet, plan, draw_arrivals(plan, load), result)
+    return result
+
+
+async def _send_all(
+    fleet: Fleet, plan: Plan, arrivals: list[Arrival], result: Result
+) -> None:
+    client = HttpcoreClient()
+    async with trio.open_nursery() as nursery:
+        started = trio.current_time()
+        for fault in plan.faults:
+            nursery.start_soon(_cause, fleet, fault, started)
+        for arrival in arrivals:
+            await trio.sleep_until(started + arrival.at_s)
+            nursery.start_soon(_send, fleet, client, plan, arrival, result)
+    await client.aclose()
+
+
+async def _send(
+    fleet: Fleet, client: HttpcoreClient, plan: Plan, arrival: Arrival, result: Result
+) -> None:
+    names = list(fleet.instance_ports)
+    url = fleet.by_name[names[arrival.instance % len(names)]].url
+    caller = Caller(client, arrival.account)
+    prompt = prompt_of(arrival)
+    seen = await caller.complete(url, prompt, plan.output_tokens, plan.allowed_s)
+    seen.request = seen.text = ""
+    result.seen.append((arrival, seen))
+
+
+async def _cause(fleet: Fleet, fault: Fault, started: float) -> None:
+    await trio.sleep_until(started + fault.at_s)
+    process = fleet.by_name.get(fault.name)
+    if fault.action == "kill":
+        process.kill()
+    elif fault.action == "freeze":
+        process.freeze()
+    elif fault.action == "thaw":
+        process.thaw()
+    elif fault.action == "start" and fault.name in fleet.engine_ports:
+        fleet.start_engine(fault.name)
+    elif fault.action == "start":
+        fleet.start_instance(fault.name)
+    elif fault.action == "platform_down":
+        fleet.by_name["platform"].freeze()
+    else:
+        fleet.by_name["platform"].thaw()
--- a/bench/run.py
+++ b/bench/run.py
@@ -153,19 +153,23 @@
             plains=0,
             latency_s=plan.latency_s,
             capacity_tokens=plan.capacity_tokens,
-            tree=_tree(plan),
+            tree=tree_of(plan),
             instance={"load_interval_s": max(plan.load_lag_s, 0.1), **plan.instance},
         )
 
 
+def prompt_of(arrival: Arrival) -> str:
+    """Return a prompt that is in no engine's cache: its first block differs."""
+    size = cost.BYTES_PER_TOKEN * arrival.tokens
+    return (f"{arrival.at_s:.6f} " + "x" * size)[:size]
+
+
 async def _send(world: World, plan: Plan, arrival: Arrival, result: Result) -> None:
     names = world.instances
     if not names:
         return
     caller = world.caller(arrival.account)
-    # The first block differs, so that no prompt is in an engine's cache.
-    prompt = f"{arrival.at_s:.6f} " + "x" * (4 * arrival.tokens)
-    prompt = prompt[: 4 * arrival.tokens]
+    prompt = prompt_of(arrival)
     url = world.url(names[arrival.instance % len(names)])
     seen = await caller.complete(url, prompt, plan.output_tokens, plan.allowed_s)
     seen.request = ""
@@ -188,7 +192,8 @@
         world.platform.knobs.down = fault.action == "platform_down"
 
 
-def _tree(plan: Plan) -> dict[str, object]:
+def tree_of(plan: Plan) -> dict[str, object]:
+    """Return the settings of a plan's accounts, without limits."""
     accounts = {name: {"key_sha256": [sha256(name)]} for name in plan.accounts}
     base = {
         "max_body_bytes": 6_000_000,
--- a/src/foxtailsaddle/app/_settings_keeper.py
+++ b/src/foxtailsaddle/app/_settings_keeper.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ..core import Members, Revision, RevisionLog, patched, read_tree
+from ..core import Members, Revision, RevisionLog
 from ..errors import (
     FoxtailsaddleError,
     NotFoundError,
@@ -146,8 +146,7 @@
             return earlier
         if change.base != self.log.number:
             raise await self._conflict(change, self.log.number)
-        document = patched(self.log.document, change.patch)
-        read_tree(document, f'change "{change.id}"')
+        self.log.preview(change.patch, f'change "{change.id}"')
         revision = Revision(
             change.base + 1,
             change.id,
--- a/src/foxtailsaddle/core/_settings.py
+++ b/src/foxtailsaddle/core/_settings.py
@@ -158,7 +158,8 @@
     accounts: dict[AccountId, Account] = {}
 
     @pydantic.model_validator(mode="after")
-    def _check_services_exist(self) -> t.Self:
+    def check_services_exist(self) -> t.Self:
+        """Refuse accounts that name a service which does not exist."""
         for account_id, account in self.accounts.items():
             for service_id in account.services:
                 if service_id not in self.services:
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -22,6 +22,22 @@
             read_tree(patched(document, {"base": {"stall_s": -1}}), "change")
         assert document == {"base": {"stall_s": 2}}
 
+    def test_patches_give_what_reading_everything_anew_gives(self):
+        log = RevisionLog(8.0)
+        patches = [
+            {"services": {"drafts": {}}, "accounts": {"a": {}, "b": {}}},
+            {"accounts": {"a": {"policy": {"max_attempts": 2}}, "c": {}}},
+            {"accounts": {"b": None, "a": {"services": {"drafts": {"stall_s": 1}}}}},
+            {"base": {"stall_s": 4}},
+            {"base": None, "accounts": {"a": {"policy": {"max_attempts": None}}}},
+        ]
+        for number, patch in enumerate(patches, start=1):
+            assert log.apply(Revision(number, str(number), "ann", patch, 0))
+            assert log.tree == read_tree(log.document, "whole")
+        assert set(log.tree.accounts) == {"a", "c"}
+        with pytest.raises(SettingsError, match="drafts"):
+            log.preview({"services": {"drafts": None}}, "change")
+
     def test_confirmation_ages(self):
         log = RevisionLog(8.0)
         log.apply(Revision(1, "a", "ann", {}, 0))
