Fewer writes and queries for control

Cause: at 330 instances each wrote its line of the platform's list every 2 s, 165 writes a second of several hundred, and asked each owned engine for cache events also when there were none. Change: the line is written when it changes and every 30 s (11 writes a second at 330, worked out); a load report tells the last event's number, so that events are asked for only when there are new ones.

--- a/src/foxtailsaddle/adapters/_endpoints_http.py
+++ b/src/foxtailsaddle/adapters/_endpoints_http.py
@@ -151,6 +151,7 @@
             held_tokens=data["held_tokens"],
             age_s=data["age_s"],
             models=tuple(data.get("models", ())),
+            cache_head=data.get("cache_head"),
         )
 
 
--- a/src/foxtailsaddle/app/_peering.py
+++ b/src/foxtailsaddle/app/_peering.py
@@ -44,6 +44,7 @@
 PULSES_PER_BEAT = 32
 NEWS_PER_BEAT = 3
 LIST_INTERVAL_S = 2.0
+REGISTER_S = 30.0
 
 
 class Peering:
@@ -66,6 +67,7 @@
         self._router = router
         self._limits = limits
         self._crashes = crashes
+        self._registered: tuple[MemberState, float] | None = None
         self._handler_by_type: dict[type, t.Callable[[t.Any], PeerMessage | None]] = {
             QuoteRequest: router.answer,
             Placed: router.note_placed,
@@ -111,7 +113,7 @@
         """Read the platform's list of instances for ever."""
         while True:
             try:
-                await self._register()
+                await self._register_if_due()
                 listed = await self._env.platform.instances()
             except PlatformUnavailableError:
                 logger.info("peers: list of instances not read")
@@ -127,6 +129,17 @@
         except PlatformUnavailableError:
             logger.info("peers: leaving not listed")
 
+    async def _register_if_due(self) -> None:
+        """Write the own line when it has changed, and now and then anyway."""
+        now = self._env.clock.now()
+        state = self._members.own.state
+        if self._registered is not None:
+            registered, at = self._registered
+            if registered is state and now - at < REGISTER_S:
+                return
+        await self._register()
+        self._registered = (state, now)
+
     async def _register(self) -> None:
         own = self._members.own
         listed = ListedInstance(
--- a/src/foxtailsaddle/app/_watcher.py
+++ b/src/foxtailsaddle/app/_watcher.py
@@ -15,6 +15,7 @@
     orphans,
 )
 from ..errors import FoxtailsaddleError
+from ..ports import LoadReport
 from ._environment import Environment
 from ._router import Router
 from ._settings_keeper import SettingsKeeper
@@ -95,19 +96,23 @@
             age_s = report.age_s + self._env.clock.now() - asked_at
             book.correct(report.remaining_by_attempt, age_s)
         await self._reap(endpoint_id, endpoint, list(report.remaining_by_attempt))
-        await self._follow_cache(endpoint_id, endpoint)
+        if report.cache_head is not None:
+            await self._follow_cache(endpoint_id, endpoint, report)
 
-    async def _follow_cache(self, endpoint_id: EndpointId, endpoint: Endpoint) -> None:
+    async def _follow_cache(
+        self, endpoint_id: EndpointId, endpoint: Endpoint, report: LoadReport
+    ) -> None:
         """Take in cache events; at a gap or a restart, the whole list."""
         index = self._router.prefixes(endpoint_id)
-        incarnation = self._liveness.incarnation(endpoint_id)
-        events = await self._env.models.cache_events(endpoint.url, index.head)
-        restarted = self._cached_by_endpoint.get(endpoint_id) != incarnation
-        if not restarted and index.apply(events):
-            return
+        if self._cached_by_endpoint.get(endpoint_id) == report.incarnation:
+            if index.head >= report.cache_head:
+                return
+            events = await self._env.models.cache_events(endpoint.url, index.head)
+            if index.apply(events):
+                return
         head, digests = await self._env.models.cached_blocks(endpoint.url)
         index.replace(digests, head)
-        self._cached_by_endpoint[endpoint_id] = incarnation
+        self._cached_by_endpoint[endpoint_id] = report.incarnation
 
     async def _poll_plain(
         self, service_id: ServiceId, endpoint_id: EndpointId, endpoint: Endpoint
--- a/src/foxtailsaddle/ports/_endpoints.py
+++ b/src/foxtailsaddle/ports/_endpoints.py
@@ -57,6 +57,7 @@
 
     :param remaining_by_attempt: prefill tokens left, of every held attempt.
     :param models: that are loaded.
+    :param cache_head: number of the last published cache event, if it tells.
     :param age_s: age of the report when it was sent, in seconds.
     """
 
@@ -66,6 +67,7 @@
     held_tokens: int
     age_s: float
     models: tuple[str, ...] = ()
+    cache_head: int | None = None
 
 
 class ModelEndpoints(t.Protocol):
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -252,7 +252,19 @@
         if self._snapshot is None or now - self._snapshot[0] >= self.knobs.load_lag_s:
             self._snapshot = (now, self._report())
         taken_at, report = self._snapshot
-        return {**report, "leaving": self.leaving, "age_s": now - taken_at}
+        return {
+            **report,
+            "leaving": self.leaving,
+            "age_s": now - taken_at,
+            "cache_head": self._published_head(now),
+        }
+
+    def _published_head(self, now: float) -> int:
+        before = now - self.knobs.cache_lag_s
+        for at, number, _, _ in reversed(self.cache_events):
+            if at <= before:
+                return number
+        return 0
 
     def events_after(self, number: int) -> list[tuple[int, str, str]]:
         """Return the published cache events behind ``number``."""
