--- a/src/foxtailsaddle/core/_settings.py
+++ b/src/foxtailsaddle/core/_settings.py
@@ -3,6 +3,7 @@
 Each level inherits from its parent and overrides only what differs.
 """
 
+import functools
 import typing as t
 from enum import Enum
 
@@ -11,6 +12,8 @@
 from ..errors import NotFoundError, SettingsError
 from ._ids import AccountId, DataCentre, EndpointId, ServiceId
 
+SHARED_POLICIES = 4096
+
 
 class StrictModel(pydantic.BaseModel):
     """Refuses unknown keys, and can't be changed after it was read."""
@@ -149,6 +152,24 @@
     policy: PolicyOverrides = PolicyOverrides()
     services: dict[ServiceId, PolicyOverrides] = {}
 
+    @pydantic.field_validator("policy", mode="after")
+    @classmethod
+    def _share_policy(cls, policy: PolicyOverrides) -> PolicyOverrides:
+        return _shared(policy)
+
+    @pydantic.field_validator("services", mode="after")
+    @classmethod
+    def _share_policies(
+        cls, services: dict[ServiceId, PolicyOverrides]
+    ) -> dict[ServiceId, PolicyOverrides]:
+        return {name: _shared(policy) for name, policy in services.items()}
+
+
+@functools.lru_cache(SHARED_POLICIES)
+def _shared(policy: PolicyOverrides) -> PolicyOverrides:
+    """Return one object for all equal policies; most accounts have the same."""
+    return policy
+
 
 class Tree(StrictModel):
     """All settings that are shared by every instance."""
