Read as a newcomer: verdicts, faults of ours, peers' nonsense; hypercorn behind a port

Found by reading, each with a test that failed first where one could: - a prompt that was written and met its deadline before any answer was called not run (seen: 3 of 3); the verdict now rises before the first byte and falls back only on proof. - a fault of ours was answered with not run; it now may have run. - a peer's unknown message ended all links of an instance. - a claimed call that reached nothing got another attempt id, under which the ledger could not ask after it; recovery asked only the first endpoint. - a begun request could be shed like a new one. Change besides: the web server stands behind a port, length classes in the core, so that app/ names no adapter.

--- a/bench/run.py
+++ b/bench/run.py
@@ -7,7 +7,7 @@
 import trio
 from hdrh.histogram import HdrHistogram
 
-from foxtailsaddle.adapters import length_class
+from foxtailsaddle.core import length_class
 from standins import cost
 from standins.caller import Seen
 from standins.fleet import sha256
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -80,6 +80,7 @@
         models=None,
         plain=None,
         links=MemoryPeerLinks(Network(), "i0", "127.0.0.1:1"),
+        web=None,
         metrics=Metrics(),
         tracer=trace.NoOpTracer(),
         random=random.Random(1),
--- a/src/foxtailsaddle/adapters/__init__.py
+++ b/src/foxtailsaddle/adapters/__init__.py
@@ -3,26 +3,25 @@
 from ._clock import SystemClock
 from ._endpoints_http import HttpModelEndpoints, HttpPlainEndpoints
 from ._http_client import HttpcoreClient
-from ._listeners import open_listener
 from ._operator_client import OperatorClient, RemoteError
 from ._peer_links import TcpPeerLinks
 from ._platform_http import HttpPlatform
 from ._settings_yaml import read_settings_file, read_yaml
-from ._telemetry import Metrics, length_class, new_tracer, set_up_logging
+from ._telemetry import Metrics, new_tracer, set_up_logging
+from ._web_server import HypercornServer
 
 __all__ = [
     "HttpModelEndpoints",
     "HttpPlainEndpoints",
     "HttpPlatform",
     "HttpcoreClient",
+    "HypercornServer",
     "Metrics",
     "OperatorClient",
     "RemoteError",
     "SystemClock",
     "TcpPeerLinks",
-    "length_class",
     "new_tracer",
-    "open_listener",
     "read_settings_file",
     "read_yaml",
     "set_up_logging",
--- a/src/foxtailsaddle/adapters/_peer_links.py
+++ b/src/foxtailsaddle/adapters/_peer_links.py
@@ -133,7 +133,12 @@
     async def _reply(
         self, stream: trio.SocketStream, lock: trio.Lock, envelope: Envelope
     ) -> None:
-        reply = await self._answer(envelope.sender, envelope.message)
+        try:
+            reply = await self._answer(envelope.sender, envelope.message)
+        except Exception:
+            # One peer's message must not end the links of all others.
+            logger.exception("peers: message not handled")
+            return
         if reply is None or not envelope.id:
             return
         out = encode(Envelope(self._own_id, reply, reply_to=envelope.id))
--- a/src/foxtailsaddle/adapters/_telemetry.py
+++ b/src/foxtailsaddle/adapters/_telemetry.py
@@ -17,16 +17,6 @@
 from pythonjsonlogger.json import JsonFormatter
 
 TTFT_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 1.3, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0)
-LENGTH_CLASSES = ((8_000, "to_8k"), (32_000, "to_32k"), (100_000, "to_100k"))
-LONGEST_CLASS = "over_100k"
-
-
-def length_class(tokens: int) -> str:
-    """Return the label of a prompt's length class."""
-    for bound, label in LENGTH_CLASSES:
-        if tokens <= bound:
-            return label
-    return LONGEST_CLASS
 
 
 class Metrics:
--- a/src/foxtailsaddle/app/_application.py
+++ b/src/foxtailsaddle/app/_application.py
@@ -1,14 +1,10 @@
 """The application object: builds the parts and runs their life cycle."""
 
 import logging
-import socket
 import typing as t
 
-import hypercorn.config
-import hypercorn.trio
 import trio
 
-from ..adapters import open_listener
 from ..core import Liveness, Member, Members, MemberState
 from ._attempts import AttemptRunner
 from ._environment import Environment
@@ -32,7 +28,6 @@
 
 SUSPECT_HEARTBEATS = 6
 CLOSE_LEDGER_S = 10.0
-KEEP_ALIVE_S = 75.0
 FIRST_SETTINGS_PAUSE_S = 0.2
 
 
@@ -49,7 +44,6 @@
         self.env = env
         self._first_tree = first_tree
         self._draining = trio.Event()
-        self._web_config = _hypercorn_config()
         suspect_s = SUSPECT_HEARTBEATS * env.settings.heartbeat_s
         self.members = Members(_own_member(env), suspect_s)
         self.liveness = Liveness(env.settings.leave_bound_s)
@@ -169,24 +163,25 @@
         await self.keeper.follow()
 
     async def _serve_callers(self) -> None:
-        settings = self.env.settings
-        app = _BoundedConnections(self.web.asgi(), settings.max_connections)
-        sock = open_listener(settings.callers, settings.slow_caller_s)
-        await _serve(app, self._web_config, sock, self.wait_until_drained)
+        await self.env.web.serve(
+            self.web.asgi(), self.env.settings.callers, self.wait_until_drained
+        )
 
     async def _serve_operators(self) -> None:
-        settings = self.env.settings
-        sock = open_listener(settings.operators, settings.slow_caller_s)
-        app = self.operator_web.asgi()
-        await _serve(app, _hypercorn_config(), sock, trio.sleep_forever)
+        await self.env.web.serve(
+            self.operator_web.asgi(), self.env.settings.operators, _for_ever
+        )
+
+    async def wait_until_drained(self) -> float:
+        """Return once the listener may close; readiness has fallen before.
 
-    async def wait_until_drained(self) -> None:
-        """Return once the listener may close; readiness has fallen before."""
+        :returns: the longest time that requests in flight may take, in seconds.
+        """
         await self._draining.wait()
         logger.info("app: draining")
         await self.peering.leave()
         await trio.sleep(self.env.settings.drain_s)
-        self._web_config.graceful_timeout = max(self._allowed_times_s())
+        return max(self._allowed_times_s())
 
     def _allowed_times_s(self) -> list[float]:
         tree = self.keeper.log.tree
@@ -197,55 +192,9 @@
         return [time_s for time_s in times if time_s] or [600.0]
 
 
-class _BoundedConnections:
-    """Refuses requests past a bound, at once."""
-
-    def __init__(self, app: t.Any, bound: int) -> None:
-        self._app = app
-        self._bound = bound
-        self._count = 0
-
-    async def __call__(self, scope: t.Any, receive: t.Any, send: t.Any) -> None:
-        if scope["type"] != "http":
-            await self._app(scope, receive, send)
-            return
-        if self._count >= self._bound:
-            headers = [(b"retry-after", b"1")]
-            start = {"type": "http.response.start", "status": 503, "headers": headers}
-            await send(start)
-            await send({"type": "http.response.body", "body": b""})
-            return
-        self._count += 1
-        try:
-            await self._app(scope, receive, send)
-        finally:
-            self._count -= 1
-
-
-def _hypercorn_config() -> hypercorn.config.Config:
-    """Return the web server's settings.
-
-    Its read timeout would cut a caller that waits for a long answer, and its
-    default graceful timeout would cut what runs longer than 3 s at a planned
-    stop. Callers that send or take nothing are cut by the listening socket and
-    by the bound on reading a body.
-    """
-    config = hypercorn.config.Config()
-    config.keep_alive_timeout = KEEP_ALIVE_S
-    config.read_timeout = None
-    config.errorlog = None
-    config.include_server_header = False
-    return config
-
-
-async def _serve(
-    app: t.Any,
-    config: hypercorn.config.Config,
-    sock: socket.socket,
-    until: t.Callable[[], t.Awaitable[None]],
-) -> None:
-    config.bind = [f"fd://{sock.detach()}"]
-    await hypercorn.trio.serve(app, config, mode="asgi", shutdown_trigger=until)
+async def _for_ever() -> float:
+    await trio.sleep_forever()
+    return 0.0
 
 
 def _own_member(env: Environment) -> Member:
--- a/src/foxtailsaddle/app/_attempts.py
+++ b/src/foxtailsaddle/app/_attempts.py
@@ -6,8 +6,7 @@
 
 import trio
 
-from ..adapters import length_class
-from ..core import AttemptId, EndpointId, Probe, Quote, rank_of
+from ..core import AttemptId, EndpointId, Probe, Quote, length_class, rank_of
 from ..errors import (
     EndpointFailedError,
     ExchangeBrokenError,
@@ -134,7 +133,6 @@
             try:
                 await self._stream_once(quote, url, job, trip, answer)
             except ExchangeBrokenError as error:
-                trip.raise_verdict(Verdict.MAY_HAVE_RUN)
                 await self._ask_after(quote, url, trip, error)
             except NothingSentError as error:
                 if first:
@@ -153,14 +151,20 @@
         job = dataclasses.replace(
             job, resume_from=answer.count, resume_text="".join(answer.text)
         )
-        stall_s = trip.policy.stall_s
-        models = self._env.models
-        async with models.stream(url, trip.attempt, job, stall_s) as events:
-            trip.raise_verdict(Verdict.MAY_HAVE_RUN)
-            async for event in events:
-                await self._take(event, quote.endpoint, trip, answer)
-                if answer.finished:
-                    return
+        stream = self._env.models.stream(url, trip.attempt, job, trip.policy.stall_s)
+        before = trip.verdict
+        # A cancelled stream may have been written, so the verdict says so first.
+        trip.raise_verdict(Verdict.MAY_HAVE_RUN)
+        try:
+            async with stream as events:
+                async for event in events:
+                    await self._take(event, quote.endpoint, trip, answer)
+                    if answer.finished:
+                        return
+        except (NothingSentError, EndpointFailedError) as error:
+            if error.verdict is Verdict.NOT_RUN:
+                trip.verdict = before
+            raise
         raise ExchangeBrokenError("the stream ended before the answer was whole")
 
     async def _take(
--- a/src/foxtailsaddle/app/_environment.py
+++ b/src/foxtailsaddle/app/_environment.py
@@ -9,7 +9,14 @@
 
     from ..adapters import Metrics
     from ..core import InstanceSettings
-    from ..ports import Clock, ModelEndpoints, PeerLinks, PlainEndpoints, Platform
+    from ..ports import (
+        Clock,
+        ModelEndpoints,
+        PeerLinks,
+        PlainEndpoints,
+        Platform,
+        WebServer,
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,6 +33,7 @@
     models: "ModelEndpoints"
     plain: "PlainEndpoints"
     links: "PeerLinks"
+    web: "WebServer"
     metrics: "Metrics"
     tracer: "trace.Tracer"
     random: random.Random
--- a/src/foxtailsaddle/app/_gateway.py
+++ b/src/foxtailsaddle/app/_gateway.py
@@ -212,7 +212,9 @@
                     )
                 trip.failed = frozenset()
                 await trio.sleep(NO_ENDPOINT_PAUSE_S)
-        if quote.wait_s > PATIENCE * (trip.left_s - quote.own_s):
+        # A request that has been begun is not shed, if it can still be done.
+        patience = 1.0 if trip.reached else PATIENCE
+        if quote.wait_s > patience * (trip.left_s - quote.own_s):
             raise OverloadedError(
                 f"{quote.wait_s:.1f} s of work are ahead and {quote.own_s:.1f} s its "
                 f"own, too much for the {trip.left_s:.1f} s left",
--- a/src/foxtailsaddle/app/_peering.py
+++ b/src/foxtailsaddle/app/_peering.py
@@ -88,7 +88,8 @@
         if isinstance(message, Heartbeat):
             await self._heard(sender, message)
             return None
-        return self._handler_by_type[type(message)](message)
+        handler = self._handler_by_type.get(type(message))
+        return handler(message) if handler is not None else None
 
     async def beat_forever(self) -> None:
         """Send heartbeats for ever."""
--- a/src/foxtailsaddle/app/_plain_gateway.py
+++ b/src/foxtailsaddle/app/_plain_gateway.py
@@ -208,7 +208,8 @@
         )
         if again and self._budget.take():
             trip.failed = trip.failed | {endpoint}
-            trip.attempt = trip.attempt.next()
+            if repeatable:
+                trip.attempt = trip.attempt.next()
             return
         if isinstance(error, NothingSentError | ExchangeBrokenError):
             raise EndpointFailedError(
@@ -249,8 +250,7 @@
             f"it is not sent again",
             verdict=Verdict.MAY_HAVE_RUN,
         )
-        endpoint = self._router.find(EndpointId(found.endpoint))
-        if service.outcome_path is None or endpoint is None:
+        if service.outcome_path is None:
             raise unknown
         question = PlainCall(
             method="GET",
@@ -260,15 +260,18 @@
             attempt=trip.attempt,
             fresh=True,
         )
-        try:
-            answer = await self._env.plain.call(endpoint.url, question, OUTCOME_S)
-        except FoxtailsaddleError as error:
-            raise unknown from error
-        if answer.status != 200:
-            raise unknown
-        outcome = Outcome(**json.loads(answer.body))
-        done = dataclasses.replace(found, state=EntryState.DONE, outcome=outcome)
-        return Claim(done, 0)
+        for endpoint in service.endpoints.values():
+            try:
+                answer = await self._env.plain.call(endpoint.url, question, OUTCOME_S)
+            except FoxtailsaddleError:
+                continue
+            if answer.status == 200:
+                outcome = Outcome(**json.loads(answer.body))
+                done = dataclasses.replace(
+                    found, state=EntryState.DONE, outcome=outcome
+                )
+                return Claim(done, 0)
+        raise unknown
 
     def _entry(self, trip: Trip, request: PlainRequest, endpoint: EndpointId) -> Entry:
         return Entry(
--- a/src/foxtailsaddle/app/_router.py
+++ b/src/foxtailsaddle/app/_router.py
@@ -306,6 +306,9 @@
         quotes: list[Quote],
     ) -> None:
         member = self._members.get(owner)
+        if member is None:
+            quotes.extend(self._quote_all(endpoints, wish))
+            return
         request = QuoteRequest(
             service=wish.service,
             tokens=wish.tokens,
--- a/src/foxtailsaddle/app/_sinks.py
+++ b/src/foxtailsaddle/app/_sinks.py
@@ -1,6 +1,7 @@
 """Answers to callers: streamed or whole, and problems."""
 
 import json
+import logging
 import math
 import time
 import typing as t
@@ -10,6 +11,9 @@
 from starlette.types import Receive, Scope, Send
 
 from ..errors import FoxtailsaddleError, RequestInvalidError
+from ..verdicts import Verdict
+
+logger = logging.getLogger("foxtailsaddle.callers")
 
 PROBLEM_TYPE = "application/problem+json"
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -17,6 +21,19 @@
 Serve = t.Callable[[t.Any], t.Awaitable[None]]
 
 
+def expected(error: Exception) -> FoxtailsaddleError:
+    """Return the error to answer with; a fault of ours is logged.
+
+    Nothing is known of what ran before such a fault.
+    """
+    if isinstance(error, FoxtailsaddleError):
+        return error
+    logger.error("callers: unexpected error", exc_info=error)
+    return FoxtailsaddleError(
+        "an unexpected error happened here", verdict=Verdict.MAY_HAVE_RUN
+    )
+
+
 def problem_body(error: FoxtailsaddleError) -> dict[str, t.Any]:
     """Return an error as RFC 9457 problem details with code and verdict."""
     body = {
@@ -84,9 +101,9 @@
             nursery.start_soon(self._watch_caller, receive, nursery.cancel_scope)
             try:
                 await self._serve(self)
-            except FoxtailsaddleError as error:
+            except Exception as error:
                 self._ending = True
-                await self._fail(error, scope, receive)
+                await self._fail(expected(error), scope, receive)
             nursery.cancel_scope.cancel()
 
     async def _fail(
--- a/src/foxtailsaddle/app/_web.py
+++ b/src/foxtailsaddle/app/_web.py
@@ -31,7 +31,7 @@
 from ._environment import Environment
 from ._gateway import Gateway
 from ._plain_gateway import PlainGateway, PlainRequest
-from ._sinks import StreamSink, WholeSink, problem
+from ._sinks import StreamSink, WholeSink, expected, problem
 from ._trip import Trip
 
 logger = logging.getLogger("foxtailsaddle.callers")
@@ -106,11 +106,9 @@
         return JSONResponse({"state": "not ready"}, status_code=503)
 
     async def _refuse(self, request: Request, error: Exception) -> Response:
-        if not isinstance(error, FoxtailsaddleError):
-            logger.error("callers: unexpected error", exc_info=error)
-            error = FoxtailsaddleError("an unexpected error happened here")
-        self._count(error.code)
-        return problem(error)
+        answer = expected(error)
+        self._count(answer.code)
+        return problem(answer)
 
     async def _completions(self, request: Request) -> t.Any:
         self._check_admitting()
--- a/src/foxtailsaddle/cli/_serve.py
+++ b/src/foxtailsaddle/cli/_serve.py
@@ -61,6 +61,7 @@
         models=adapters.HttpModelEndpoints(client),
         plain=adapters.HttpPlainEndpoints(client),
         links=adapters.TcpPeerLinks(settings.id, settings.peers),
+        web=adapters.HypercornServer(settings.max_requests, settings.slow_caller_s),
         metrics=adapters.Metrics(),
         tracer=adapters.new_tracer(settings.id, settings.trace_otlp_url),
         random=rng,
--- a/src/foxtailsaddle/core/__init__.py
+++ b/src/foxtailsaddle/core/__init__.py
@@ -13,6 +13,7 @@
 )
 from ._leases import Lease, next_lease
 from ._ledger import Entry, EntryState, Finding, Outcome, closing, find
+from ._lengths import length_class
 from ._limits import (
     Allowance,
     Bucket,
@@ -93,6 +94,7 @@
     "closing",
     "find",
     "group_capacity",
+    "length_class",
     "may_retry",
     "next_lease",
     "orphans",
--- /dev/null
+++ b/src/foxtailsaddle/core/_lengths.py
@@ -0,0 +1,12 @@
+"""Length classes of prompts, for metrics and measurements."""
+
+LENGTH_CLASSES = ((8_000, "to_8k"), (32_000, "to_32k"), (100_000, "to_100k"))
+LONGEST_CLASS = "over_100k"
+
+
+def length_class(tokens: int) -> str:
+    """Return the label of a prompt's length class."""
+    for bound, label in LENGTH_CLASSES:
+        if tokens <= bound:
+            return label
+    return LONGEST_CLASS
--- a/src/foxtailsaddle/core/_settings.py
+++ b/src/foxtailsaddle/core/_settings.py
@@ -266,8 +266,8 @@
     operator_key_sha256: dict[str, str] = pydantic.Field(
         {}, description="Hash of each operator's key, by operator."
     )
-    max_connections: int = pydantic.Field(
-        2000, gt=0, description="Most connections of callers at the same time."
+    max_requests: int = pydantic.Field(
+        2000, gt=0, description="Most requests at the same time on one address."
     )
     heartbeat_s: float = pydantic.Field(
         0.75, gt=0, description="Time between heartbeats to peers, in seconds."
--- a/src/foxtailsaddle/ports/__init__.py
+++ b/src/foxtailsaddle/ports/__init__.py
@@ -34,9 +34,11 @@
 )
 from ._platform import ListedInstance, Platform, Row
 from ._time import Clock
+from ._web import AsgiApp, WebServer
 
 __all__ = [
     "Ask",
+    "AsgiApp",
     "AttemptState",
     "Clock",
     "Ended",
@@ -70,4 +72,5 @@
     "StartRequest",
     "Suspicion",
     "TokenEvent",
+    "WebServer",
 ]
--- /dev/null
+++ b/src/foxtailsaddle/ports/_web.py
@@ -0,0 +1,23 @@
+"""The port to the web server."""
+
+import typing as t
+
+from ..core import Listen
+
+AsgiApp = t.Callable[..., t.Awaitable[None]]
+
+
+class WebServer(t.Protocol):
+    """Serves an ASGI application on an address."""
+
+    async def serve(
+        self,
+        app: AsgiApp,
+        listen: Listen,
+        until: t.Callable[[], t.Awaitable[float]],
+    ) -> None:
+        """Serve until ``until`` returns, then finish what is in flight.
+
+        :param until: returns the longest time for that, in seconds.
+        :raises AddressInUseError: the address can't be listened on.
+        """
--- a/standins/world.py
+++ b/standins/world.py
@@ -130,6 +130,7 @@
             models=adapters.HttpModelEndpoints(client),
             plain=adapters.HttpPlainEndpoints(client),
             links=MemoryPeerLinks(self.network, name, str(settings.peers)),
+            web=None,
             metrics=adapters.Metrics(),
             tracer=trace.NoOpTracer(),
             random=rng,
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -231,6 +231,19 @@
     def test_holds(self):
         run_world(self.scenario)
 
+    async def unanswered(self, world: World) -> None:
+        """The prompt was written; the engine says nothing before the deadline."""
+        for model in world.engine_by_name.values():
+            model.knobs.latency_s = 4.0
+        seen = await complete_all(world, prompts_of(3), 4, 2.0)
+        assert {item.code for item in seen} == {"deadline_exceeded"}
+        await trio.sleep(5)
+        assert history.attempts_ran(world)
+        history.check_not_run_is_true(world, seen)
+
+    def test_holds_when_the_deadline_comes_before_any_answer(self):
+        run_world(self.unanswered)
+
     def test_fails_without_raising_the_verdict(self):
         from foxtailsaddle.app._trip import Trip
 
@@ -308,6 +321,36 @@
         patch = mock.patch.object(keeper, "_settle_later", lambda *_, **__: None)
         fails_without(self.late_write, patch)
 
+    async def lost_outcome(self, world: World) -> None:
+        """The instance dies after the call ran and before its outcome is kept."""
+        world.plain_by_name["p1"].knobs.lost_answers = 1
+        async with trio.open_nursery() as nursery:
+            caller = world.caller()
+            nursery.start_soon(caller.call, world.url("i1"), "sign", b"{}", "k", 4.0)
+            await trio.sleep(1)
+            world.kill("i1")
+            early = await world.caller().call(world.url("i2"), "sign", b"{}", "k", 3.0)
+            assert early.code == "in_progress"
+            nursery.cancel_scope.cancel()
+        await trio.sleep(5)
+        late = await world.caller().call(world.url("i2"), "sign", b"{}", "k", 3.0)
+        assert len(world.plain_by_name["p1"].ran) == 1
+        self.late = late
+
+    def test_a_lost_outcome_is_asked_of_the_service(self):
+        path = {"outcome_path": "attempts/{attempt}", "kind": "plain"}
+        endpoints = {"p1": {"url": "http://10.0.3.1:80"}}
+        service = {**path, "repeatable": False, "endpoints": endpoints}
+        run_world(self.lost_outcome, tree={"services": {"register": service}})
+        assert self.late.code == "ok"
+
+    def test_a_lost_outcome_is_said_to_be_unknown_where_nobody_can_tell(self):
+        run_world(self.lost_outcome)
+        assert (self.late.code, self.late.verdict) == (
+            "outcome_unknown",
+            "may_have_run",
+        )
+
     def test_another_body_under_a_used_key_is_refused(self):
         async def scenario(world: World) -> None:
             caller = world.caller()
