--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -142,7 +142,9 @@
         self.finished: set[str] = set()
         self.arrivals: collections.deque[float] = collections.deque(maxlen=KEPT_RECORDS)
         self.cache: collections.OrderedDict[bytes, None] = collections.OrderedDict()
-        self.cache_events: list[tuple[float, int, str, str]] = []
+        self.cache_events: collections.deque[tuple[float, int, str, str]] = (
+            collections.deque(maxlen=KEPT_RECORDS)
+        )
         self._cache_number = 0
         self._on_crash = on_crash
         self._wake = trio.Event()
@@ -269,11 +271,13 @@
     def events_after(self, number: int) -> list[tuple[int, str, str]]:
         """Return the published cache events behind ``number``."""
         before = trio.current_time() - self.knobs.cache_lag_s
-        return [
-            (event, kind, block)
-            for at, event, kind, block in self.cache_events
-            if event > number and at <= before
-        ]
+        found = []
+        for at, event, kind, block in reversed(self.cache_events):
+            if event <= number:
+                break
+            if at <= before:
+                found.append((event, kind, block))
+        return found[::-1]
 
     def blocks(self) -> tuple[int, list[str]]:
         """Return the number of the last event and all cached blocks."""
