Plots: a panel for each load

Cause: 24 lines and their legend lay over each other. Change: one panel a load, one legend beside them.

--- a/bench/report.py
+++ b/bench/report.py
@@ -35,18 +35,23 @@
     """Draw the slowdowns by prompt length as a PNG or SVG file."""
     from matplotlib import pyplot
 
-    figure, axes = pyplot.subplots(figsize=(8, 4.5))
-    for result in results:
-        if not result.long_ones:
-            continue
-        values = [p95(result.slowdowns.get(label)) for label in CLASSES]
-        label = f"{result.policy.value} at {result.load:.0%}"
-        axes.plot(CLASSES, values, marker="o", label=label)
-    axes.set_yscale("log")
-    axes.set_ylabel("p95 of time to first token over bare prefill")
-    axes.set_xlabel("prompt length")
-    axes.legend(fontsize="small")
-    figure.tight_layout()
+    shown = [result for result in results if result.long_ones]
+    loads = sorted({result.load for result in shown})
+    figure, panels = pyplot.subplots(
+        1, len(loads), figsize=(4 * len(loads) + 2, 4.5), sharey=True, squeeze=False
+    )
+    for load, axes in zip(loads, panels[0], strict=True):
+        for result in shown:
+            if result.load == load:
+                values = [p95(result.slowdowns.get(label)) for label in CLASSES]
+                axes.plot(CLASSES, values, marker="o", label=result.policy.value)
+        axes.set_yscale("log")
+        axes.set_title(f"{load:.0%} load")
+        axes.set_xlabel("prompt length")
+    panels[0][0].set_ylabel("p95 of time to first token over bare prefill")
+    handles, labels = panels[0][0].get_legend_handles_labels()
+    figure.legend(handles, labels, loc="center right", fontsize="small")
+    figure.tight_layout(rect=(0, 0, 1 - 2 / (4 * len(loads) + 2), 1))
     figure.savefig(path)
 
 
