Nonsense from others and faults of ours end no instance

Found by reading, then by tests: a revision of a later version, a load report that is not as agreed, or a fault in a control task ended the process, and would have ended all instances at once. Now the first keeps the instance from admitting, the second counts as no word of that endpoint, and control tasks run again after 1 s. Ruled out: crashing to be restarted, since all would meet the same row.

--- a/src/foxtailsaddle/adapters/_endpoints_http.py
+++ b/src/foxtailsaddle/adapters/_endpoints_http.py
@@ -67,7 +67,8 @@
             body = await response.read()
         if response.status == 404:
             return AttemptState.UNKNOWN
-        return AttemptState(_json(body, url)["state"])
+        with _well_formed(url):
+            return AttemptState(_json(body, url)["state"])
 
     async def cancel(self, url: str, attempt: str) -> None:
         """Cancel an attempt and free its memory."""
@@ -108,16 +109,18 @@
     async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
         """Return the published cache events behind a number."""
         data = await self._query(f"{url}/kv/events?after={after}")
-        return [
-            CacheEvent(number, kind == "stored", short_digest(bytes.fromhex(block)))
-            for number, kind, block in data["events"]
-        ]
+        with _well_formed(url):
+            return [
+                CacheEvent(number, kind == "stored", short_digest(bytes.fromhex(block)))
+                for number, kind, block in data["events"]
+            ]
 
     async def cached_blocks(self, url: str) -> tuple[int, list[int]]:
         """Return the last event's number and the digests of all cached blocks."""
         data = await self._query(f"{url}/kv/blocks")
-        digests = [short_digest(bytes.fromhex(block)) for block in data["blocks"]]
-        return data["head"], digests
+        with _well_formed(url):
+            digests = [short_digest(bytes.fromhex(block)) for block in data["blocks"]]
+            return data["head"], digests
 
     async def _query(self, url: str) -> t.Any:
         request = HttpRequest("GET", url, connect_s=QUERY_S, idle_s=QUERY_S)
@@ -144,15 +147,16 @@
     async def load(self, url: str) -> LoadReport:
         """Return the engine's report."""
         data = await self._query(f"{url}/load")
-        return LoadReport(
-            incarnation=data["incarnation"],
-            leaving=data["leaving"],
-            remaining_by_attempt=data["remaining_by_attempt"],
-            held_tokens=data["held_tokens"],
-            age_s=data["age_s"],
-            models=tuple(data.get("models", ())),
-            cache_head=data.get("cache_head"),
-        )
+        with _well_formed(url):
+            return LoadReport(
+                incarnation=data["incarnation"],
+                leaving=data["leaving"],
+                remaining_by_attempt=data["remaining_by_attempt"],
+                held_tokens=data["held_tokens"],
+                age_s=data["age_s"],
+                models=tuple(data.get("models", ())),
+                cache_head=data.get("cache_head"),
+            )
 
 
 class HttpPlainEndpoints:
@@ -190,7 +194,8 @@
         )
         async with self._client.exchange(request) as response:
             data = _json(await response.read(), url)
-        return data["incarnation"], data["leaving"]
+        with _well_formed(url):
+            return data["incarnation"], data["leaving"]
 
 
 def _job_body(job: ModelJob, attempt: AttemptId) -> bytes:
@@ -237,15 +242,22 @@
     async for data in _events(response):
         if data == DONE:
             return
-        chunk = _json(data, url)
-        if chunk["id"] != attempt:
-            continue
-        choice = chunk["choices"][0]
-        text = choice["delta"]["content"] if "delta" in choice else choice["text"]
-        yield TokenEvent(chunk["offset"], text, choice["finish_reason"])
+        with _well_formed(url):
+            event = _token_event(_json(data, url), attempt)
+        if event is not None:
+            yield event
     raise ExchangeBrokenError(f'stream of "{url}" ended before its terminal event')
 
 
+def _token_event(chunk: t.Any, attempt: str) -> TokenEvent | None:
+    """Return the token in a chunk, ``None`` for one of another attempt."""
+    if chunk["id"] != attempt:
+        return None
+    choice = chunk["choices"][0]
+    text = choice["delta"]["content"] if "delta" in choice else choice["text"]
+    return TokenEvent(chunk["offset"], text, choice["finish_reason"])
+
+
 async def _events(response: HttpResponse) -> t.AsyncIterator[str]:
     pending = b""
     async for chunk in response.chunks():
@@ -255,8 +267,17 @@
                 yield event.data
 
 
-def _json(data: bytes | str, url: str) -> t.Any:
+@contextlib.contextmanager
+def _well_formed(url: str) -> t.Iterator[None]:
+    """Turn an answer that is not as agreed into a broken exchange."""
     try:
+        yield
+    except (KeyError, IndexError, TypeError, ValueError) as error:
+        raise ExchangeBrokenError(
+            f'endpoint at "{url}" answered not as agreed: {error!r}'
+        ) from error
+
+
+def _json(data: bytes | str, url: str) -> t.Any:
+    with _well_formed(url):
         return json.loads(data)
-    except ValueError as error:
-        raise ExchangeBrokenError(f'endpoint at "{url}" answered no JSON') from error
--- a/src/foxtailsaddle/adapters/_platform_http.py
+++ b/src/foxtailsaddle/adapters/_platform_http.py
@@ -4,6 +4,7 @@
 replaces the version that it names.
 """
 
+import contextlib
 import dataclasses
 import json
 import typing as t
@@ -22,6 +23,17 @@
 PRECONDITION_FAILED = 412
 
 
+@contextlib.contextmanager
+def _well_formed() -> t.Iterator[None]:
+    """Turn an answer that is not as agreed into an outage."""
+    try:
+        yield
+    except (KeyError, TypeError) as error:
+        raise PlatformUnavailableError(
+            f"platform answered not as agreed: {error!r}"
+        ) from error
+
+
 class HttpPlatform:
     """Speaks to the platform's table service and instance list."""
 
@@ -34,12 +46,14 @@
         status, body = await self._read(f"/tables/{table}/{quote(key, safe='')}")
         if status == 404:
             return None
-        return Row(**body)
+        with _well_formed():
+            return Row(**body)
 
     async def scan(self, table: str, after: str) -> list[Row]:
         """Return the rows behind ``after`` in key order."""
         _, body = await self._read(f"/tables/{table}?after={quote(after, safe='')}")
-        return [Row(**item) for item in body["rows"]]
+        with _well_formed():
+            return [Row(**item) for item in body["rows"]]
 
     async def put(
         self, table: str, key: str, value: dict[str, t.Any], expected: int
@@ -64,7 +78,8 @@
     async def instances(self) -> list[ListedInstance]:
         """Return the list of instances, which lags."""
         _, body = await self._read("/instances")
-        return [ListedInstance(**item) for item in body["instances"]]
+        with _well_formed():
+            return [ListedInstance(**item) for item in body["instances"]]
 
     async def register(self, listed: ListedInstance) -> None:
         """Add or change this instance's line in the list."""
--- a/src/foxtailsaddle/app/_application.py
+++ b/src/foxtailsaddle/app/_application.py
@@ -29,6 +29,7 @@
 SUSPECT_HEARTBEATS = 6
 CLOSE_LEDGER_S = 10.0
 FIRST_SETTINGS_PAUSE_S = 0.2
+RESTART_PAUSE_S = 1.0
 
 
 class Application:
@@ -89,11 +90,14 @@
         """Build the request path and start the control tasks."""
         self._build(background)
         background.start_soon(self.env.links.run, self.peering.answer)
-        background.start_soon(self._get_settings)
-        background.start_soon(self.peering.beat_forever)
-        background.start_soon(self.peering.watch_list)
-        background.start_soon(self.watcher.watch)
-        background.start_soon(self.placement.run)
+        for task in (
+            self._get_settings,
+            self.peering.beat_forever,
+            self.peering.watch_list,
+            self.watcher.watch,
+            self.placement.run,
+        ):
+            background.start_soon(_keep_running, task)
         logger.info("app: started")
 
     def drain(self) -> None:
@@ -192,6 +196,19 @@
         return [time_s for time_s in times if time_s] or [600.0]
 
 
+async def _keep_running(task: t.Callable[[], t.Awaitable[None]]) -> None:
+    """Run a control task for ever, and again after a fault of ours.
+
+    A fault that many instances meet at once must not end them all.
+    """
+    while True:
+        try:
+            await task()
+        except Exception:
+            logger.exception("app: control task failed")
+        await trio.sleep(RESTART_PAUSE_S)
+
+
 async def _for_ever() -> float:
     await trio.sleep_forever()
     return 0.0
--- a/src/foxtailsaddle/app/_settings_keeper.py
+++ b/src/foxtailsaddle/app/_settings_keeper.py
@@ -14,6 +14,7 @@
     PlatformUnavailableError,
     PreconditionFailedError,
     SettingsConflictError,
+    SettingsError,
     WriteOutcomeUnknownError,
 )
 from ..ports import Heartbeat, Row, SettingsReply, SettingsRequest
@@ -90,6 +91,11 @@
         except PlatformUnavailableError:
             self.confirm_by_peers()
             return
+        except SettingsError as error:
+            # Accepted by an instance of a later version: this one can't follow,
+            # so it confirms nothing and takes no new requests.
+            logger.error("settings: not understood", extra={"error": error.message})
+            return
         self._head_read_at = started_at
         self.log.confirm(self.log.number, started_at)
         self._env.metrics.revision.set({}, self.log.number)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -699,6 +699,51 @@
         run_world(self.scenario)
 
 
+class TestFaultyOthers:
+    """Nonsense from others, and faults of ours, end no instance."""
+
+    def test_a_revision_of_a_later_version_keeps_an_instance_from_admitting(self):
+        async def scenario(world: World) -> None:
+            rows = world.platform.tables["settings"]
+            row = {
+                "number": 2,
+                "change": "c",
+                "author": "a",
+                "patch": {"base": {"colour": "red"}},
+                "at_ms": 0,
+            }
+            rows["000000000002"] = (1, row)
+            await trio.sleep(15)
+            assert len(world.instances) == 3
+            seen = await world.caller().complete(world.url("i1"), "hello", 4, 5.0)
+            assert seen.code == "not_ready"
+
+        run_world(scenario)
+
+    def test_an_endpoint_that_reports_nonsense_gets_no_work(self):
+        async def scenario(world: World) -> None:
+            world.engine_by_name["e1"].load = lambda: {"colour": "red"}
+            await trio.sleep(8)
+            before = len(world.engine_by_name["e1"].arrivals)
+            seen = await complete_all(world, prompts_of(10), 4, 5.0, gap_s=0.1)
+            assert [item.code for item in seen] == ["ok"] * 10
+            assert len(world.engine_by_name["e1"].arrivals) == before
+
+        run_world(scenario)
+
+    def test_a_control_task_that_fails_runs_again(self):
+        async def scenario(world: World) -> None:
+            real = _watcher.EndpointWatcher.poll
+            with mock.patch.object(_watcher.EndpointWatcher, "poll", None):
+                await trio.sleep(2)
+            assert _watcher.EndpointWatcher.poll is real
+            await trio.sleep(3)
+            seen = await world.caller().complete(world.url("i1"), "hello", 4, 5.0)
+            assert seen.code == "ok"
+
+        run_world(scenario)
+
+
 class TestSilentPlatform:
     """A platform that takes connections and answers nothing holds nobody up."""
 
