Groups export and import KV by name; traces reach a collector

Cause: the engines' protocol for groups carried a count of tokens, not whose KV to import, and spans over OTLP had no test. Change: each part's KV is named by engine, attempt and tokens, for the parts after it and the last member; a leaving endpoint is seen to finish what it has begun, each of 12 streams in one attempt.

--- a/src/foxtailsaddle/adapters/_endpoints_http.py
+++ b/src/foxtailsaddle/adapters/_endpoints_http.py
@@ -1,6 +1,7 @@
 """Ports to model engines and plain services, over HTTP and SSE."""
 
 import contextlib
+import dataclasses
 import json
 import typing as t
 
@@ -13,6 +14,7 @@
     HttpClient,
     HttpRequest,
     HttpResponse,
+    KvPart,
     LoadReport,
     ModelJob,
     PlainAnswer,
@@ -88,10 +90,19 @@
         return status == 200
 
     async def prefill(
-        self, url: str, attempt: AttemptId, text: str, priority: float
+        self,
+        url: str,
+        attempt: AttemptId,
+        text: str,
+        priority: float,
+        imports: tuple[KvPart, ...],
     ) -> None:
-        """Start the prefill of a part of a prompt into reserved memory."""
-        body = {"prompt": text, "priority": priority}
+        """Start the prefill of a part of a prompt, and export its KV."""
+        body = {
+            "prompt": text,
+            "priority": priority,
+            "kv_imports": [dataclasses.asdict(part) for part in imports],
+        }
         status = await self._command("POST", f"{url}/kv/{attempt}/prefill", body)
         if status != 202:
             raise EndpointFailedError(
@@ -209,7 +220,7 @@
             "stream": True,
             "priority": job.priority,
             "cache_salt": job.salt,
-            "imported_tokens": job.imported_tokens,
+            "kv_imports": [dataclasses.asdict(part) for part in job.imports],
             "resume_from": job.resume_from,
             "resume_text": job.resume_text,
             "deadline_ms": attempt.deadline_ms,
--- a/src/foxtailsaddle/app/_attempts.py
+++ b/src/foxtailsaddle/app/_attempts.py
@@ -13,7 +13,7 @@
     FoxtailsaddleError,
     NothingSentError,
 )
-from ..ports import AttemptState, ModelJob, Placed, TokenEvent
+from ..ports import AttemptState, KvPart, ModelJob, Placed, TokenEvent
 from ..verdicts import Verdict
 from ._environment import Environment
 from ._router import Router
@@ -88,19 +88,19 @@
         call: ModelCall,
         trip: Trip,
         answer: Answer,
-        imported_tokens: int = 0,
+        imports: tuple[KvPart, ...] = (),
     ) -> None:
         """Run the trip's current attempt at the quoted endpoint.
 
-        :param imported_tokens: of the prompt, that other engines hold for it.
-
+        :param imports: KV of the prompt's first parts, that other engines hold.
         :raises EndpointFailedError: with the verdict of this attempt.
         """
         attempt = trip.attempt
         url = self._router.find(quote.endpoint).url
+        imported_tokens = sum(part.tokens for part in imports)
         own_tokens = call.tokens - imported_tokens - quote.cached_tokens
         self._router.place(self.placed(quote.endpoint, call, trip, own_tokens))
-        job = self._job(call, trip, own_tokens, imported_tokens)
+        job = self._job(call, trip, own_tokens, imports)
         reached = True
         try:
             await self._stream_whole(quote, url, job, trip, answer)
@@ -261,7 +261,11 @@
         return rank_of(arrived_at, tokens, NOMINAL_PREFILL_TOKENS_PER_S)
 
     def _job(
-        self, call: ModelCall, trip: Trip, own_tokens: int, imported_tokens: int
+        self,
+        call: ModelCall,
+        trip: Trip,
+        own_tokens: int,
+        imports: tuple[KvPart, ...],
     ) -> ModelJob:
         return ModelJob(
             model=trip.service,
@@ -271,7 +275,7 @@
             max_tokens=call.max_tokens,
             priority=self.priority(own_tokens, trip),
             salt=trip.account,
-            imported_tokens=imported_tokens,
+            imports=imports,
         )
 
 
--- a/src/foxtailsaddle/app/_groups.py
+++ b/src/foxtailsaddle/app/_groups.py
@@ -13,7 +13,7 @@
 
 from ..core import Candidate, Liveness, Share, group_capacity, plan_group
 from ..errors import EndpointFailedError, FoxtailsaddleError, OverloadedError
-from ..ports import AttemptState
+from ..ports import AttemptState, KvPart
 from ..verdicts import Verdict
 from ._attempts import Answer, AttemptRunner, ModelCall
 from ._environment import Environment
@@ -58,14 +58,14 @@
         names = ", ".join(f"{share.endpoint}: {share.tokens}" for share in shares)
         trip.note("grouped", names)
         try:
-            imported = await self._prefill_parts(shares[:-1], call, trip)
+            imports = await self._prefill_parts(shares[:-1], call, trip)
             trip.ranked_from = self._env.clock.now()
             await self._runner.run(
                 self._router.unranked_quote(shares[-1].endpoint),
                 call,
                 trip,
                 answer,
-                imported_tokens=imported,
+                imports=imports,
             )
         finally:
             self._free(shares, trip)
@@ -109,8 +109,9 @@
 
     async def _prefill_parts(
         self, shares: list[Share], call: ModelCall, trip: Trip
-    ) -> int:
-        """Prefill the parts one after another; return their tokens."""
+    ) -> tuple[KvPart, ...]:
+        """Prefill the parts one after another; return their exported KV."""
+        done: tuple[KvPart, ...] = ()
         starts = itertools.accumulate((share.tokens for share in shares), initial=0)
         for share, start in zip(shares, starts, strict=False):
             text = _slice(call, start, share.tokens)
@@ -121,13 +122,20 @@
             self._router.place(placed)
             priority = self._runner.priority(share.tokens, trip)
             try:
-                await self._prefill(share, text, priority, trip)
+                await self._prefill(share, text, priority, trip, done)
             finally:
                 self._router.release(share.endpoint, str(trip.attempt))
-        return sum(share.tokens for share in shares)
+            part = KvPart(self._url(share), str(trip.attempt), share.tokens)
+            done = (*done, part)
+        return done
 
     async def _prefill(
-        self, share: Share, text: str, priority: float, trip: Trip
+        self,
+        share: Share,
+        text: str,
+        priority: float,
+        trip: Trip,
+        imports: tuple[KvPart, ...],
     ) -> None:
         """Start one part and wait until it is done."""
         url = self._url(share)
@@ -137,7 +145,7 @@
         while True:
             try:
                 if not started:
-                    await models.prefill(url, trip.attempt, text, priority)
+                    await models.prefill(url, trip.attempt, text, priority, imports)
                     started = True
                 state = await models.state(url, trip.attempt)
                 heard_at = self._env.clock.now()
--- a/src/foxtailsaddle/ports/__init__.py
+++ b/src/foxtailsaddle/ports/__init__.py
@@ -2,6 +2,7 @@
 
 from ._endpoints import (
     AttemptState,
+    KvPart,
     LoadReport,
     ModelEndpoints,
     ModelJob,
@@ -50,6 +51,7 @@
     "HttpClient",
     "HttpRequest",
     "HttpResponse",
+    "KvPart",
     "ListedInstance",
     "LoadReport",
     "ModelEndpoints",
--- a/src/foxtailsaddle/ports/_endpoints.py
+++ b/src/foxtailsaddle/ports/_endpoints.py
@@ -8,6 +8,19 @@
 from ..core import AttemptId, CacheEvent, Verdict
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KvPart:
+    """KV cache of a part of a prompt, exported at one engine for others.
+
+    :param url: of the engine that holds it.
+    :param name: under which it holds it: the attempt's.
+    """
+
+    url: str
+    name: str
+    tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ModelJob:
     """What an engine is asked to generate.
@@ -15,7 +28,7 @@
     :param prompt: the text; for a chat, its messages' texts for the estimate.
     :param messages: the messages of a chat, else empty.
     :param options: sampling options, passed on as they came.
-    :param imported_tokens: of the prompt, whose KV other engines hold for it.
+    :param imports: KV of the prompt's first parts, in order, to be imported.
     :param resume_from: tokens that the caller already has.
     :param resume_text: the text of those tokens.
     :param priority: lower runs first.
@@ -29,7 +42,7 @@
     max_tokens: int
     priority: float
     salt: str
-    imported_tokens: int = 0
+    imports: tuple[KvPart, ...] = ()
     resume_from: int = 0
     resume_text: str = ""
 
@@ -102,9 +115,16 @@
         """
 
     async def prefill(
-        self, url: str, attempt: AttemptId, text: str, priority: float
+        self,
+        url: str,
+        attempt: AttemptId,
+        text: str,
+        priority: float,
+        imports: tuple[KvPart, ...],
     ) -> None:
-        """Start the prefill of a part of a prompt into reserved memory.
+        """Start the prefill of a part of a prompt, and export its KV.
+
+        The part goes into memory that was reserved under the attempt's name.
 
         Asking again for the same attempt starts nothing anew.
 
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -163,7 +163,7 @@
             return known
         start = int(body.get("resume_from", 0))
         self.reserved_by_name.pop(attempt, None)
-        imported = int(body.get("imported_tokens", 0))
+        imported = sum(part["tokens"] for part in body.get("kv_imports", ()))
         prompt_tokens = max(1, cost.tokens_of(prompt) - imported)
         blocks = _blocks(prompt, str(body.get("cache_salt", "")))
         marker = self.knobs.crash_marker
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -421,6 +421,21 @@
 
         fails_without(self.scenario, mock.patch.object(Liveness, "heard", deaf))
 
+    def test_what_it_has_begun_is_not_cut(self):
+        async def scenario(world: World) -> None:
+            async def leave() -> None:
+                await trio.sleep(0.5)
+                for name in ("e1", "e2"):
+                    world.engine_by_name[name].leaving = True
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(leave)
+                seen = await complete_all(world, prompts_of(12), 100, 20.0)
+            assert [item.code for item in seen] == ["ok"] * 12
+            assert len(history.attempts_ran(world)) == 12
+
+        run_world(scenario)
+
     def test_holds_when_an_operator_withdraws_it(self):
         run_world(self.withdrawn)
 
--- /dev/null
+++ b/tests/test_telemetry.py
@@ -0,0 +1,53 @@
+"""Traces and metrics."""
+
+import http.server
+import threading
+
+import trio
+
+from foxtailsaddle.adapters import Metrics, new_tracer
+from standins.world import World, run_world
+
+
+class TestTraces:
+    def test_spans_go_to_the_collector_when_one_is_set(self):
+        got: list[tuple[str, int]] = []
+        arrived = threading.Event()
+
+        class Collector(http.server.BaseHTTPRequestHandler):
+            def do_POST(self) -> None:
+                length = int(self.headers["content-length"])
+                got.append((self.path, len(self.rfile.read(length))))
+                self.send_response(200)
+                self.end_headers()
+                arrived.set()
+
+            def log_message(self, *_: object) -> None:
+                pass
+
+        server = http.server.HTTPServer(("127.0.0.1", 0), Collector)
+        thread = threading.Thread(target=server.serve_forever, daemon=True)
+        thread.start()
+        url = f"http://127.0.0.1:{server.server_port}/v1/traces"
+        with new_tracer("i1", url).start_as_current_span("request"):
+            pass
+        assert arrived.wait(15)
+        server.shutdown()
+        assert got[0][0] == "/v1/traces"
+        assert got[0][1] > 0
+
+
+class TestMetrics:
+    def test_time_to_first_token_is_kept_by_length_class(self):
+        async def scenario(world: World) -> None:
+            await world.caller().complete(world.url("i1"), "x" * 80_000, 4, 10)
+            await trio.sleep(0)
+            page, _ = world.app("i1").env.metrics.render(["*/*"])
+            text = page.decode()
+            assert 'time_to_first_token_seconds_count{length="to_32k"} 1' in text
+            assert 'requests_total{code="ok"} 1' in text
+
+        run_world(scenario)
+
+    def test_each_instance_has_its_own(self):
+        assert Metrics().requests is not Metrics().requests
