--- /dev/null
+++ b/tests/test_promises_fleet.py
@@ -0,0 +1,289 @@
+"""Promises of the whole fleet, each proved under failure.
+
+A proof is a scenario that must pass. Beside it stands the same scenario with
+the mechanism taken out, by a switch in the test, which must fail.
+"""
+
+import typing as t
+from unittest import mock
+
+import pytest
+import trio
+
+from foxtailsaddle.adapters import RemoteError
+from foxtailsaddle.app import _watcher
+from foxtailsaddle.core import RevisionLog
+from standins.world import World, run_world
+
+from . import history
+from .proof import complete_all, fails_without, prompts_of
+
+
+class TestSettings:
+    """An accepted change is in force everywhere within 12 s and stays."""
+
+    BOUND_S = 12.0
+
+    async def cut_off(self, world: World) -> None:
+        """An instance that can't hear of a change stops admitting in time."""
+        world.cut_off_instance("i3")
+        operator = world.operator("i1")
+        base = (await operator.settings())["revision"]
+        gone = {"accounts": {"inspector": {"key_sha256": []}}}
+        await operator.apply("lock-out", base, gone)
+        await trio.sleep(self.BOUND_S)
+        for name in world.instances:
+            seen = await world.caller().complete(world.url(name), "hello", 4, 5.0)
+            assert seen.code in ("unauthorized", "not_ready"), (name, seen)
+
+    def test_a_cut_off_instance_stops_in_time(self):
+        run_world(self.cut_off)
+
+    def test_fails_without_confirmation(self):
+        always = mock.patch.object(RevisionLog, "is_confirmed", lambda *_: True)
+        fails_without(self.cut_off, always)
+
+    def test_a_change_is_in_force_on_seven_instances_in_time(self):
+        async def scenario(world: World) -> None:
+            operator = world.operator("i1")
+            base = (await operator.settings())["revision"]
+            accepted = await operator.apply("c", base, {"base": {"stall_s": 7}})
+            await trio.sleep(self.BOUND_S)
+            for name in world.instances:
+                log = world.app(name).keeper.log
+                assert log.number == accepted["number"]
+
+        run_world(scenario, instances=7)
+
+    def test_no_change_is_accepted_while_the_platform_is_down(self):
+        async def scenario(world: World) -> None:
+            world.platform.knobs.down = True
+            operator = world.operator("i1")
+            base = (await operator.settings())["revision"]
+            with pytest.raises(RemoteError) as caught:
+                await operator.apply("c", base, {"base": {"stall_s": 7}})
+            assert caught.value.remote_code == "platform_unavailable"
+            world.platform.knobs.down = False
+            await trio.sleep(self.BOUND_S)
+            numbers = {world.app(n).keeper.log.number for n in world.instances}
+            assert numbers == {base}
+
+        run_world(scenario, instances=7)
+
+    def test_all_instances_at_once_are_replaced_within_seconds(self):
+        async def scenario(world: World) -> None:
+            await world.caller().call(world.url("i1"), "sign", b"{}", "k", 3.0)
+            for name in list(world.instances):
+                world.kill(name)
+            await trio.sleep(1)
+            for name in ("i1", "i2", "i3"):
+                world.start_instance(name)
+            await trio.sleep(3)
+            for name in world.instances:
+                seen = await world.caller().complete(world.url(name), "hello", 4, 5.0)
+                assert seen.code == "ok"
+            again = await world.caller().call(world.url("i2"), "sign", b"{}", "k", 3.0)
+            assert again.code == "ok"
+            history.check_at_most_once(world)
+
+        run_world(scenario)
+
+    def test_a_long_outage_of_the_platform_stops_nobody(self):
+        async def scenario(world: World) -> None:
+            world.platform.knobs.down = True
+            await trio.sleep(120)
+            for name in world.instances:
+                seen = await world.caller().complete(world.url(name), "hello", 4, 5.0)
+                assert seen.code == "ok"
+
+        run_world(scenario)
+
+    def test_a_new_instance_starts_from_its_peers_in_an_outage(self):
+        async def scenario(world: World) -> None:
+            world.platform.knobs.down = True
+            world.kill("i2")
+            await trio.sleep(20)
+            world.start_instance("i2")
+            await trio.sleep(5)
+            seen = await world.caller().complete(world.url("i2"), "hello", 4, 5.0)
+            assert seen.code == "ok"
+
+        run_world(scenario)
+
+    def test_nothing_reverts_for_an_instance_that_boots_from_a_stale_read(self):
+        async def scenario(world: World) -> None:
+            operator = world.operator("i1")
+            stale = dict(world.platform.tables["settings"])
+            for number in range(3):
+                base = (await operator.settings())["revision"]
+                await operator.apply(
+                    f"c{number}", base, {"base": {"stall_s": 5 + number}}
+                )
+            fresh = dict(world.platform.tables["settings"])
+            world.kill("i3")
+            world.platform.tables["settings"] = stale
+            world.start_instance("i3")
+            await trio.sleep(4)
+            assert world.app("i3").keeper.log.number == len(fresh)
+            assert world.app("i1").keeper.log.number == len(fresh)
+
+        run_world(scenario)
+
+
+class TestRacingOperators:
+    """Racing changes: no lost update, one order, each answer true."""
+
+    COUNT = 50
+
+    async def scenario(self, world: World) -> None:
+        answers: dict[str, int | None] = {}
+
+        async def change(instance: str, author: str) -> None:
+            operator = world.operator(instance)
+            for number in range(self.COUNT):
+                if number % 7 == 0:
+                    world.platform.knobs.lost_answers += 1
+                await self.one_change(operator, f"{author}-{number}", answers)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(change, "i1", "ann")
+            nursery.start_soon(change, "i2", "bob")
+        await trio.sleep(TestSettings.BOUND_S)
+        await self.check(world, answers)
+
+    async def one_change(
+        self, operator: t.Any, change_id: str, answers: dict[str, int | None]
+    ) -> None:
+        """Make one change, as often as it loses a race; keep the answer."""
+        patch = {"accounts": {change_id: {"key_sha256": [change_id]}}}
+        while True:
+            base = (await operator.settings())["revision"]
+            try:
+                answers[change_id] = (await operator.apply(change_id, base, patch))[
+                    "number"
+                ]
+                return
+            except RemoteError as error:
+                if error.remote_code != "settings_conflict":
+                    answers[change_id] = None
+            await trio.sleep(0.05)
+
+    async def check(self, world: World, answers: dict[str, int | None]) -> None:
+        revisions = await world.operator("i3").history()
+        number_by_change = {item["change"]: item["number"] for item in revisions}
+        assert [item["number"] for item in revisions] == list(
+            range(1, len(revisions) + 1)
+        )
+        assert len(answers) == 2 * self.COUNT
+        for change_id, number in answers.items():
+            assert number_by_change.get(change_id) == number
+        for name in world.instances:
+            log = world.app(name).keeper.log
+            assert log.number == len(revisions)
+            assert set(answers) <= set(log.document["accounts"])
+
+    def test_holds(self):
+        run_world(self.scenario)
+
+    def test_fails_when_a_put_ignores_its_condition(self):
+        from standins.platform import PlatformModel
+
+        def put(model, table, key, value, expected):
+            version, _ = model.tables[table].get(key, (0, None))
+            model.tables[table][key] = (version + 1, value)
+            return version + 1
+
+        patch = mock.patch.object(PlatformModel, "put", put)
+        fails_without(self.scenario, patch)
+
+
+class TestPlannedStop:
+    """A stopping instance finishes what it has begun and starts nothing new."""
+
+    async def scenario(self, world: World) -> None:
+        async with trio.open_nursery() as nursery:
+
+            async def roll() -> None:
+                for name in ("i1", "i2", "i3"):
+                    await trio.sleep(1)
+                    world.app(name).drain()
+                    while name in world.instances:
+                        await trio.sleep(0.1)
+                    world.start_instance(name)
+                    await trio.sleep(2)
+
+            nursery.start_soon(roll)
+            seen = await complete_all(world, prompts_of(40, 5_000), 50, 30.0, 0.3)
+        begun = [item for item in seen if "refused" not in item.code]
+        assert len(begun) > 20
+        assert {item.code for item in begun} <= {"ok", "not_ready"}
+
+    def test_rolling_over_all_instances_cuts_nothing(self):
+        run_world(self.scenario)
+
+
+class TestFaultyOthers:
+    """Nonsense from others, and faults of ours, end no instance."""
+
+    def test_a_revision_of_a_later_version_keeps_an_instance_from_admitting(self):
+        async def scenario(world: World) -> None:
+            rows = world.platform.tables["settings"]
+            row = {
+                "number": 2,
+                "change": "c",
+                "author": "a",
+                "patch": {"base": {"colour": "red"}},
+                "at_ms": 0,
+            }
+            rows["000000000002"] = (1, row)
+            await trio.sleep(15)
+            assert len(world.instances) == 3
+            seen = await world.caller().complete(world.url("i1"), "hello", 4, 5.0)
+            assert seen.code == "not_ready"
+
+        run_world(scenario)
+
+    def test_an_endpoint_that_reports_nonsense_gets_no_work(self):
+        async def scenario(world: World) -> None:
+            world.engine_by_name["e1"].load = lambda: {"colour": "red"}
+            await trio.sleep(8)
+            before = len(world.engine_by_name["e1"].arrivals)
+            seen = await complete_all(world, prompts_of(10), 4, 5.0, gap_s=0.1)
+            assert [item.code for item in seen] == ["ok"] * 10
+            assert len(world.engine_by_name["e1"].arrivals) == before
+
+        run_world(scenario)
+
+    def test_a_control_task_that_fails_runs_again(self):
+        async def scenario(world: World) -> None:
+            real = _watcher.EndpointWatcher.poll
+            with mock.patch.object(_watcher.EndpointWatcher, "poll", None):
+                await trio.sleep(2)
+            assert _watcher.EndpointWatcher.poll is real
+            await trio.sleep(3)
+            seen = await world.caller().complete(world.url("i1"), "hello", 4, 5.0)
+            assert seen.code == "ok"
+
+        run_world(scenario)
+
+
+class TestSilentPlatform:
+    """A platform that takes connections and answers nothing holds nobody up."""
+
+    def test_calls_are_refused_and_prompts_go_on(self):
+        async def scenario(world: World) -> None:
+            world.platform.knobs.frozen = True
+            await trio.sleep(30)
+            url = world.url("i1")
+            prompt = await world.caller().complete(url, "hello", 4, 5.0)
+            assert prompt.code == "ok"
+            call = await world.caller().call(url, "sign", b"{}", "k", 10.0)
+            assert call.verdict == "not_run"
+            assert call.total_s <= 10.5
+            world.platform.knobs.frozen = False
+            await trio.sleep(20)
+            again = await world.caller().call(url, "sign", b"{}", "k", 5.0)
+            assert again.code == "ok"
+            history.check_at_most_once(world)
+
+        run_world(scenario)
