--- a/standins/engine.py
+++ b/standins/engine.py
@@ -114,11 +114,17 @@
     async def _events(self, request: Request) -> Response:
         await self.model.knobs.before()
         after = int(request.query_params.get("after", 0))
-        return JSONResponse({"events": self.model.events_after(after)})
+        return JSONResponse(
+            {
+                "events": self.model.cache.events_after(
+                    after, self.model.knobs.cache_lag_s
+                )
+            }
+        )
 
     async def _blocks(self, request: Request) -> Response:
         await self.model.knobs.before()
-        head, blocks = self.model.blocks()
+        head, blocks = self.model.cache.all_blocks()
         return JSONResponse({"head": head, "blocks": blocks})
 
     async def _order(self, request: Request) -> Response:
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -13,6 +13,7 @@
 
 from . import cost
 from .common import FOREVER_S, Knobs
+from .prefix_cache import PrefixCache, blocks_of
 
 WORDS = (
     "axle",
@@ -141,11 +142,7 @@
         )
         self.finished: set[str] = set()
         self.arrivals: collections.deque[float] = collections.deque(maxlen=KEPT_RECORDS)
-        self.cache: collections.OrderedDict[bytes, None] = collections.OrderedDict()
-        self.cache_events: collections.deque[tuple[float, int, str, str]] = (
-            collections.deque(maxlen=KEPT_RECORDS)
-        )
-        self._cache_number = 0
+        self.cache = PrefixCache(capacity_tokens // cost.CACHE_BLOCK_TOKENS)
         self._on_crash = on_crash
         self._wake = trio.Event()
         self._snapshot: tuple[float, dict[str, t.Any]] | None = None
@@ -165,7 +162,7 @@
         self.reserved_by_name.pop(attempt, None)
         imported = sum(part["tokens"] for part in body.get("kv_imports", ()))
         prompt_tokens = max(1, cost.tokens_of(prompt) - imported)
-        blocks = _blocks(prompt, str(body.get("cache_salt", "")))
+        blocks = blocks_of(prompt, str(body.get("cache_salt", "")))
         marker = self.knobs.crash_marker
         sequence = Sequence(
             attempt=attempt,
@@ -174,7 +171,7 @@
             max_tokens=int(body["max_tokens"]),
             priority=float(body.get("priority", 0)),
             start=start,
-            remaining=max(1, prompt_tokens + start - self._cached_tokens(blocks)),
+            remaining=max(1, prompt_tokens + start - self.cache.cached_tokens(blocks)),
             blocks=blocks,
             crashes=bool(marker) and marker in prompt,
             count=start,
@@ -258,31 +255,9 @@
             **report,
             "leaving": self.leaving,
             "age_s": now - taken_at,
-            "cache_head": self._published_head(now),
+            "cache_head": self.cache.published_head(self.knobs.cache_lag_s),
         }
 
-    def _published_head(self, now: float) -> int:
-        before = now - self.knobs.cache_lag_s
-        for at, number, _, _ in reversed(self.cache_events):
-            if at <= before:
-                return number
-        return 0
-
-    def events_after(self, number: int) -> list[tuple[int, str, str]]:
-        """Return the published cache events behind ``number``."""
-        before = trio.current_time() - self.knobs.cache_lag_s
-        found = []
-        for at, event, kind, block in reversed(self.cache_events):
-            if event <= number:
-                break
-            if at <= before:
-                found.append((event, kind, block))
-        return found[::-1]
-
-    def blocks(self) -> tuple[int, list[str]]:
-        """Return the number of the last event and all cached blocks."""
-        return self._cache_number, [block.hex() for block in self.cache]
-
     async def tokens(
         self, sequence: Sequence, offset: int
     ) -> t.AsyncIterator[tuple[int, str | None]]:
@@ -367,46 +342,6 @@
             return
         if sequence.crashes:
             self._on_crash()
-        self._remember(sequence.blocks)
+        self.cache.remember(sequence.blocks, self.knobs.cache_gap_every)
         sequence.count += not sequence.part
         sequence.tell()
-
-    def _cached_tokens(self, blocks: list[bytes]) -> int:
-        count = 0
-        for block in blocks:
-            if block not in self.cache:
-                break
-            self.cache.move_to_end(block)
-            count += 1
-        return count * cost.CACHE_BLOCK_TOKENS
-
-    def _remember(self, blocks: list[bytes]) -> None:
-        room = self.capacity_tokens // cost.CACHE_BLOCK_TOKENS
-        for block in blocks:
-            if block not in self.cache:
-                self.cache[block] = None
-                self._publish("stored", block)
-        while len(self.cache) > room:
-            old, _ = self.cache.popitem(last=False)
-            self._publish("removed", old)
-
-    def _publish(self, kind: str, block: bytes) -> None:
-        self._cache_number += 1
-        every = self.knobs.cache_gap_every
-        if every and self._cache_number % every == 0:
-            return
-        event = (trio.current_time(), self._cache_number, kind, block.hex())
-        self.cache_events.append(event)
-
-
-def _blocks(prompt: str, salt: str) -> list[bytes]:
-    """Return the chained digests of a prompt's whole cache blocks."""
-    data = prompt.encode()
-    size = cost.CACHE_BLOCK_TOKENS * cost.BYTES_PER_TOKEN
-    chain = hashlib.blake2b(salt.encode(), digest_size=16).digest()
-    blocks = []
-    for start in range(0, len(data) - size + 1, size):
-        chain = hashlib.blake2b(chain + data[start : start + size], digest_size=16)
-        chain = chain.digest()
-        blocks.append(chain)
-    return blocks
