A quarantine ends although peers tell each other of it

Cause, found by reading and then seen: each heartbeat renewed what the others remembered for another 10 minutes, so a quarantine never ended while two instances lived (a request was still refused after 610 s). Change: a suspicion carries the seconds it has left, and at most 8 travel in a heartbeat. Ruled out: gossip by the home alone (a new home would know nothing).

--- a/src/foxtailsaddle/adapters/peers.capnp
+++ b/src/foxtailsaddle/adapters/peers.capnp
@@ -21,6 +21,7 @@
 struct Suspicion {
   fingerprint @0 :Text;
   death @1 :Text;
+  leftS @2 :Float64;
 }
 
 struct Heartbeat {
--- a/src/foxtailsaddle/app/_guards.py
+++ b/src/foxtailsaddle/app/_guards.py
@@ -29,6 +29,7 @@
 SHORT_WAIT_S = 0.1
 MIN_WAIT_S = 0.005
 IDLE_S = 60.0
+SUSPICIONS_PER_BEAT = 8
 
 
 class LimitGuard:
@@ -207,12 +208,14 @@
     def note_suspicion(self, message: Suspicion) -> None:
         """Record a death that a peer reports."""
         now = self._env.clock.now()
-        self._guard.note_death(message.fingerprint, message.death, now)
+        self._guard.note_death(message.fingerprint, message.death, now, message.left_s)
 
     def suspicions(self) -> tuple[Suspicion, ...]:
-        """Return all suspicions, for gossip."""
-        now = self._env.clock.now()
-        return tuple(Suspicion(*pair) for pair in self._guard.suspicions(now))
+        """Return suspicions for gossip; of many, some at random."""
+        found = self._guard.suspicions(self._env.clock.now())
+        if len(found) > SUSPICIONS_PER_BEAT:
+            found = self._env.random.sample(found, SUSPICIONS_PER_BEAT)
+        return tuple(Suspicion(*item) for item in found)
 
     def _home(self, fingerprint: str) -> InstanceId:
         return _home_of(f"crash:{fingerprint}", self._env, self._members)
--- a/src/foxtailsaddle/core/_crashes.py
+++ b/src/foxtailsaddle/core/_crashes.py
@@ -13,7 +13,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Record:
-    deaths: set[str] = dataclasses.field(default_factory=set)
+    deaths: dict[str, float] = dataclasses.field(default_factory=dict)
     cleared: set[str] = dataclasses.field(default_factory=set)
     running_until: dict[str, float] = dataclasses.field(default_factory=dict)
     until: float = 0.0
@@ -32,17 +32,22 @@
     def __len__(self) -> int:
         return len(self._by_fingerprint)
 
-    def note_death(self, fingerprint: str, death: str, now: float) -> None:
+    def note_death(
+        self, fingerprint: str, death: str, now: float, left_s: float | None = None
+    ) -> None:
         """Record that an endpoint died while it ran the request.
 
         :param death: names the endpoint's incarnation, so that many reports
             of one death count once.
+        :param left_s: seconds for which it still counts, when a peer tells of
+            it. Otherwise peers that tell each other would remember for ever.
         """
         record = self._by_fingerprint.setdefault(fingerprint, _Record())
         if death in record.cleared:
             return
-        record.deaths.add(death)
-        record.until = now + self._hold_s
+        until = now + (self._hold_s if left_s is None else left_s)
+        record.deaths[death] = min(until, record.deaths.get(death, until))
+        record.until = max(record.until, record.deaths[death])
 
     def deaths(self, fingerprint: str, now: float) -> int:
         """Return how many deaths the fingerprint is suspected of."""
@@ -53,7 +58,7 @@
         """Return the seconds that the fingerprint stays refused, else 0."""
         if self.deaths(fingerprint, now) < MAX_DEATHS:
             return 0.0
-        return self._by_fingerprint[fingerprint].until - now
+        return min(self._by_fingerprint[fingerprint].deaths.values()) - now
 
     def start(self, fingerprint: str, request: str, until: float, now: float) -> float:
         """Count a copy as running; return 0, or the seconds to wait instead.
@@ -85,25 +90,28 @@
             return
         record.running_until.pop(request, None)
         if whole:
-            record.cleared |= record.deaths
+            record.cleared |= set(record.deaths)
             record.deaths.clear()
         if not (record.deaths or record.cleared or record.running_until):
             del self._by_fingerprint[fingerprint]
 
-    def suspicions(self, now: float) -> list[tuple[str, str]]:
-        """Return (fingerprint, death) pairs to tell the peers of."""
+    def suspicions(self, now: float) -> list[tuple[str, str, float]]:
+        """Return (fingerprint, death, seconds left) to tell the peers of."""
         for fingerprint in list(self._by_fingerprint):
             self._live(fingerprint, now)
         return [
-            (fingerprint, death)
+            (fingerprint, death, until - now)
             for fingerprint, record in self._by_fingerprint.items()
-            for death in sorted(record.deaths)
+            for death, until in sorted(record.deaths.items())
         ]
 
     def _live(self, fingerprint: str, now: float) -> _Record | None:
         record = self._by_fingerprint.get(fingerprint)
         if record is None:
             return None
+        record.deaths = {
+            death: until for death, until in record.deaths.items() if until > now
+        }
         if record.until <= now:
             del self._by_fingerprint[fingerprint]
             return None
--- a/src/foxtailsaddle/ports/_peers.py
+++ b/src/foxtailsaddle/ports/_peers.py
@@ -18,10 +18,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspicion:
-    """A request fingerprint that was in flight when an endpoint died."""
+    """A request fingerprint that was in flight when an endpoint died.
+
+    :param left_s: seconds for which it still counts.
+    """
 
     fingerprint: str
     death: str
+    left_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -51,7 +51,7 @@
             revision=9,
             platform_age_s=-1.0,
             words=(EndpointWord("e1", "inc", True, 0.25),),
-            suspicions=(Suspicion("f", "e1/inc"),),
+            suspicions=(Suspicion("f", "e1/inc", 2.5),),
         )
         for message in (beat, REQUEST, REPLY):
             envelope = Envelope(InstanceId("i1"), message, id=7, reply_to=3)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -305,6 +305,25 @@
     def test_holds(self):
         run_world(self.scenario, engines=6)
 
+    def test_a_quarantine_ends_although_peers_tell_each_other(self):
+        async def scenario(world: World) -> None:
+            for model in world.engine_by_name.values():
+                model.knobs.crash_marker = "poison"
+            url = world.url("i1")
+            first = await world.caller().complete(url, "poison", 4, 10)
+            assert first.code == "quarantined"
+            for name in world.engine_names:
+                world.engine_by_name[name].knobs.crash_marker = ""
+            await trio.sleep(500)
+            held = await world.caller().complete(world.url("i2"), "poison", 4, 10)
+            assert held.code == "quarantined"
+            await trio.sleep(110)
+            for name in world.instances:
+                seen = await world.caller().complete(world.url(name), "poison", 4, 10)
+                assert seen.code == "ok"
+
+        run_world(scenario, engines=5)
+
     def test_fails_without_the_crash_watch(self):
         async def start(watch, *_):
             return StartReply(0.0, 0)
