An accepted change is found behind many pages of the log

Cause, found by reading and then seen: with more revisions than one page of the platform's answer, asking after a late change said "was not accepted", which was not true, and asking for it again met a conflict. Change: the history is read page by page; the answer names how far it looked. Measured: with pages of 5, the 12th change is found; before, it was denied.

--- a/src/foxtailsaddle/app/_settings_keeper.py
+++ b/src/foxtailsaddle/app/_settings_keeper.py
@@ -26,6 +26,7 @@
 SNAPSHOT_TABLE = "settings_snapshots"
 SNAPSHOT_KEY = "latest"
 SNAPSHOT_EVERY = 100
+FOUND_WITHIN = 1000
 KEY_DIGITS = 12
 FENCE_AUTHOR = "foxtailsaddle"
 FENCE_ATTEMPTS = 5
@@ -167,8 +168,13 @@
 
     async def history(self, after: int) -> list[Revision]:
         """Return the accepted revisions behind ``after``."""
-        rows = await self._env.platform.scan(TABLE, _key(after))
-        return [Revision(**row.value) for row in rows]
+        found: list[Revision] = []
+        while True:
+            last = found[-1].number if found else after
+            rows = await self._env.platform.scan(TABLE, _key(last))
+            if not rows:
+                return found
+            found += [Revision(**row.value) for row in rows]
 
     async def change(self, change_id: str) -> Revision:
         """Return what became of a change.
@@ -178,11 +184,14 @@
         await self._read_platform()
         found = await self._find(change_id)
         if found is None:
-            raise NotFoundError(f'change "{change_id}" was not accepted')
+            raise NotFoundError(
+                f'change "{change_id}" was not accepted within the last '
+                f"{FOUND_WITHIN} revisions"
+            )
         return found
 
     async def _find(self, change_id: str) -> Revision | None:
-        after = max(0, self.log.number - 10 * SNAPSHOT_EVERY)
+        after = max(0, self.log.number - FOUND_WITHIN)
         for revision in await self.history(after):
             if revision.change == change_id:
                 return revision
--- a/src/foxtailsaddle/ports/_platform.py
+++ b/src/foxtailsaddle/ports/_platform.py
@@ -35,7 +35,9 @@
         """
 
     async def scan(self, table: str, after: str) -> list[Row]:
-        """Return the rows with a key greater than ``after``, in key order.
+        """Return the next rows with a key greater than ``after``, in key order.
+
+        The platform hands them out in pages; an empty list is the end.
 
         :raises PlatformUnavailableError: the platform did not answer.
         """
--- a/tests/test_promises_fleet.py
+++ b/tests/test_promises_fleet.py
@@ -13,6 +13,7 @@
 from foxtailsaddle.adapters import RemoteError
 from foxtailsaddle.app import _watcher
 from foxtailsaddle.core import RevisionLog
+from standins import platform
 from standins.world import World, run_world
 
 from . import history
@@ -197,6 +198,26 @@
         fails_without(self.scenario, patch)
 
 
+class TestLongLog:
+    """The platform hands out its rows in pages."""
+
+    def test_a_late_change_is_found_behind_many_pages(self):
+        async def scenario(world: World) -> None:
+            operator = world.operator("i1")
+            for number in range(12):
+                base = (await operator.settings())["revision"]
+                patch = {"base": {"stall_s": 1 + number}}
+                await operator.apply(f"c{number}", base, patch)
+            found = await world.operator("i2").change("c11")
+            assert found["number"] == 13
+            assert len(await operator.history()) == 13
+            again = await operator.apply("c11", 3, {"base": {"stall_s": 12}})
+            assert again["number"] == 13
+
+        with mock.patch.object(platform, "PAGE_ROWS", 5):
+            run_world(scenario)
+
+
 class TestPlannedStop:
     """A stopping instance finishes what it has begun and starts nothing new."""
 
