A counter-proof for the planned stop

Cause: the row for planned stops rested on what was seen before a change, not on a test. Change: the same scenario with instances ended at once must cut streams.

--- a/tests/test_promises_fleet.py
+++ b/tests/test_promises_fleet.py
@@ -11,7 +11,7 @@
 import trio
 
 from foxtailsaddle.adapters import RemoteError
-from foxtailsaddle.app import _watcher
+from foxtailsaddle.app import Application, _watcher
 from foxtailsaddle.core import RevisionLog
 from standins import platform
 from standins.world import World, run_world
@@ -222,6 +222,7 @@
     """A stopping instance finishes what it has begun and starts nothing new."""
 
     async def scenario(self, world: World) -> None:
+        self.world = world
         async with trio.open_nursery() as nursery:
 
             async def roll() -> None:
@@ -242,6 +243,13 @@
     def test_rolling_over_all_instances_cuts_nothing(self):
         run_world(self.scenario)
 
+    def test_fails_without_a_graceful_shutdown(self):
+        def end_at_once(app: Application) -> None:
+            self.world.kill(app.members.own.id)
+
+        patch = mock.patch.object(Application, "drain", end_at_once)
+        fails_without(self.scenario, patch)
+
 
 class TestFaultyOthers:
     """Nonsense from others, and faults of ours, end no instance."""
