The demo stops its fleet on SIGTERM too

Cause: a demo kept with KEEP=1 left three instances and the stand-ins running when it was ended by SIGTERM, or by SIGINT from a script that ignores it. Change: SIGTERM ends it as Ctrl+C does; it waits outside the event loop, since a signal raised inside tore the loop's own state. Measured: started and ended by SIGTERM, no process left, no trace printed.

--- a/demo/demo.py
+++ b/demo/demo.py
@@ -1,8 +1,10 @@
 """Starts a small fleet, sends prompts of very unlike lengths, prints a table."""
 
+import contextlib
 import json
 import os
 import pathlib
+import signal
 import sys
 import time
 import urllib.request
@@ -103,8 +105,14 @@
     )
 
 
+def _end(*_: object) -> None:
+    """End as on Ctrl+C, so that the fleet is stopped too."""
+    raise KeyboardInterrupt
+
+
 def main() -> int:
     """Run the demo; 0 when every request ended in a whole answer."""
+    signal.signal(signal.SIGTERM, _end)
     binary = os.environ.get("FOXTAILSADDLE", f"{sys.executable} -m foxtailsaddle")
     with Fleet(ROOT / "demo" / "run", binary=binary.split()) as fleet:
         time.sleep(1)
@@ -112,7 +120,8 @@
         print_table(rows)
         if os.environ.get("KEEP"):
             print_curl(fleet)
-            trio.run(trio.sleep_forever)
+            with contextlib.suppress(KeyboardInterrupt):
+                signal.pause()
     return 0 if all(seen.code == "ok" for _, seen, _ in rows) else 1
 
 
