--- /dev/null
+++ b/src/foxtailsaddle/_lazy.py
@@ -0,0 +1,26 @@
+"""Packages whose names are loaded on first use."""
+
+import importlib
+import sys
+import typing as t
+
+
+def loader(
+    package: str, module_by_name: t.Mapping[str, str]
+) -> t.Callable[[str], t.Any]:
+    """Return a package's ``__getattr__``.
+
+    A process then pays only for the modules that it runs.
+
+    :param module_by_name: the relative module that defines each name.
+    """
+
+    def load(name: str) -> t.Any:
+        module = module_by_name.get(name)
+        if module is None:
+            raise AttributeError(f"module {package!r} has no attribute {name!r}")
+        value = getattr(importlib.import_module(module, package), name)
+        setattr(sys.modules[package], name, value)
+        return value
+
+    return load
--- a/src/foxtailsaddle/cli/_main.py
+++ b/src/foxtailsaddle/cli/_main.py
@@ -2,11 +2,11 @@
 
 import json as json_module
 import sys
+import typing as t
 
 import fire
 
 from ..errors import FoxtailsaddleError
-from . import _operator
 
 EXIT_FAILED = 1
 EXIT_CONFLICT = 3
@@ -17,6 +17,13 @@
 }
 
 
+def _operator() -> t.Any:
+    """Import the operators' client, which only some commands need."""
+    from . import _operator as operator
+
+    return operator
+
+
 class Commands:
     """foxtailsaddle: a serving layer for prompts of very unlike lengths.
 
@@ -24,13 +31,40 @@
     set FOXTAILSADDLE_URL and FOXTAILSADDLE_KEY.
     """
 
-    settings = _operator.Settings
-    endpoints = _operator.Endpoints
-    instances = _operator.Instances
-    requests = _operator.Requests
-    ledger = _operator.Ledger
-    accounts = _operator.Accounts
-    services = _operator.Services
+    @property
+    def settings(self) -> t.Any:
+        """Commands about the settings in force."""
+        return _operator().Settings()
+
+    @property
+    def endpoints(self) -> t.Any:
+        """Commands about endpoints."""
+        return _operator().Endpoints()
+
+    @property
+    def instances(self) -> t.Any:
+        """Commands about instances."""
+        return _operator().Instances()
+
+    @property
+    def requests(self) -> t.Any:
+        """Commands about requests."""
+        return _operator().Requests()
+
+    @property
+    def ledger(self) -> t.Any:
+        """Commands about calls that may not be repeated."""
+        return _operator().Ledger()
+
+    @property
+    def accounts(self) -> t.Any:
+        """Commands about client accounts."""
+        return _operator().Accounts()
+
+    @property
+    def services(self) -> t.Any:
+        """Commands about services."""
+        return _operator().Services()
 
     def serve(self, config: str, log_level: str = "INFO") -> None:
         """Run one entry instance until SIGTERM or SIGINT.
@@ -42,6 +76,18 @@
 
         serve(config, log_level)
 
+    def serve_platform(
+        self, config: str | None = None, log_level: str = "INFO"
+    ) -> None:
+        """Run one instance on the users' platform until SIGTERM.
+
+        :param config: the platform's settings file; without it the file that
+            the platform's variable names.
+        """
+        from ._serve_platform import serve_platform
+
+        serve_platform(config, log_level)
+
     def check(self, file: str) -> str:
         """Validate a settings file and say what it holds."""
         from ..adapters import read_settings_file
--- /dev/null
+++ b/src/foxtailsaddle/core/_engine_placement.py
@@ -0,0 +1,284 @@
+"""Which engines read and write a prompt.
+
+Load pattern: prompts of a thousand to a million tokens on one fleet. A long
+prompt that is read while short ones are written stretches every pause between
+their events, so the choice is priced in what all callers concerned lose: the
+new one by a late first event, those already there by late events. Short
+prompts gather on few engines, and long ones are read in parts by the others.
+"""
+
+import dataclasses
+import typing as t
+
+from ._engine_books import EngineLoad
+from ._engine_time import EngineTime
+from ._ids import DataCentre, EndpointId
+
+LATE_SHARE = 0.75  # part of an answer's worth that a late one loses
+RAMP_FROM = 0.7  # share of a bound at which lateness becomes possible
+RAMP_TO = 1.05
+BEYOND_SHARE = 0.02  # further loss for each multiple of the bound
+OPEN_COST = 0.03  # an engine without tight writers is kept for long prompts
+LAST_SLOT_COST = 0.06
+AWAY_COST = 0.002  # another data centre
+HELPER_COST = 0.003
+OVER_MEMORY_COST = 0.6
+TIGHT_GAP_MS = 400.0
+SLOT_WAIT_MS = 400.0
+PART_COUNTS = (1, 2, 3, 4, 6, 8, 10, 12, 14, 17)
+SPLIT_FROM_MS = 60.0  # a prompt that is read faster has no helpers
+MEMORY_FILL = 0.97
+NORMAL_FAILURE_SHARE = 0.0125
+NETWORK_MS = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptDemand:
+    """What one streamed request needs.
+
+    :param aim_ms: time left until its first event is late.
+    :param gap_ms: longest pause between its events.
+    :param weight: what a prompt answer is worth.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    aim_ms: float
+    gap_ms: float
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineCandidate:
+    """An engine that could take part, as it is believed to be now.
+
+    :param pace: how many times slower than published it is.
+    """
+
+    id: EndpointId
+    data_centre: DataCentre
+    load: EngineLoad
+    pace: float = 1.0
+    failure_share: float = NORMAL_FAILURE_SHARE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamPlan:
+    """Where a prompt is read and written.
+
+    :param part_ms: reading time at each of the engines.
+    :param held_by_endpoint: memory to set aside at helpers, in tokens.
+    :param first_event_ms: predicted time to the first event.
+    :param loss: predicted loss of all callers concerned.
+    """
+
+    endpoint: EndpointId
+    helpers: tuple[EndpointId, ...]
+    part_ms: float
+    held_by_endpoint: t.Mapping[EndpointId, int]
+    first_event_ms: float
+    loss: float
+
+
+def place_stream(
+    demand: PromptDemand,
+    candidates: t.Sequence[EngineCandidate],
+    time: EngineTime,
+    data_centre: DataCentre,
+) -> StreamPlan | None:
+    """Return the plan that costs all callers least, or ``None`` without engines.
+
+    :param data_centre: that of the instance that decides.
+    """
+    placing = _Placing(demand, time, data_centre)
+    best: StreamPlan | None = None
+    for parts in _part_counts(time.read_ms(demand.prompt_tokens), len(candidates)):
+        plan = placing.plan(candidates, parts)
+        if plan is not None and (best is None or plan.loss < best.loss):
+            best = plan
+    return best
+
+
+def _part_counts(read_ms: float, engines: int) -> list[int]:
+    if read_ms < SPLIT_FROM_MS:
+        return [1] if engines else []
+    return [parts for parts in PART_COUNTS if parts <= engines]
+
+
+def lateness(taken_ms: float, bound_ms: float) -> float:
+    """Return how likely a time misses its bound: 0 to 1, a little more beyond."""
+    if bound_ms <= 0:
+        return 1.0 + BEYOND_SHARE * taken_ms / 1000
+    share = taken_ms / bound_ms
+    if share <= RAMP_FROM:
+        return 0.0
+    late = min(1.0, (share - RAMP_FROM) / (RAMP_TO - RAMP_FROM))
+    return late + BEYOND_SHARE * max(0.0, share - RAMP_TO)
+
+
+class _Placing:
+    """The reckoning for one request."""
+
+    def __init__(
+        self, demand: PromptDemand, time: EngineTime, data_centre: DataCentre
+    ) -> None:
+        self._demand = demand
+        self._time = time
+        self._data_centre = data_centre
+
+    def plan(
+        self, candidates: t.Sequence[EngineCandidate], parts: int
+    ) -> StreamPlan | None:
+        part_ms = self._time.read_ms(self._demand.prompt_tokens, parts)
+        main = min(
+            candidates,
+            key=lambda engine: self._main_cost(engine, part_ms),
+            default=None,
+        )
+        if main is None:
+            return None
+        helpers = self._helpers(candidates, main, parts - 1, part_ms)
+        if len(helpers) < parts - 1:
+            return None
+        held = self._held(main, helpers)
+        if held is None:
+            return None
+        return self._priced(main, helpers, part_ms, held)
+
+    def _priced(
+        self,
+        main: EngineCandidate,
+        helpers: list[EngineCandidate],
+        part_ms: float,
+        held: dict[EndpointId, int],
+    ) -> StreamPlan:
+        first_ms = max(
+            self._first_event_ms(engine, part_ms) for engine in (main, *helpers)
+        )
+        loss = self._late(first_ms) + self._main_extras(main)
+        loss += self._harm(main, part_ms, self._context_tokens(held))
+        loss += sum(self._helper_cost(engine, part_ms) for engine in helpers)
+        return StreamPlan(
+            endpoint=main.id,
+            helpers=tuple(engine.id for engine in helpers),
+            part_ms=part_ms,
+            held_by_endpoint=held,
+            first_event_ms=first_ms,
+            loss=loss,
+        )
+
+    def _helpers(
+        self,
+        candidates: t.Sequence[EngineCandidate],
+        main: EngineCandidate,
+        count: int,
+        part_ms: float,
+    ) -> list[EngineCandidate]:
+        able = [
+            engine
+            for engine in candidates
+            if engine.id != main.id and engine.load.helping < self._time.spec.slots
+        ]
+        able.sort(key=lambda engine: self._helper_order(engine, part_ms))
+        return able[:count]
+
+    def _helper_order(
+        self, engine: EngineCandidate, part_ms: float
+    ) -> tuple[float, float]:
+        late = self._late(self._first_event_ms(engine, part_ms))
+        return self._helper_cost(engine, part_ms) + late, engine.load.read_ms
+
+    def _helper_cost(self, engine: EngineCandidate, part_ms: float) -> float:
+        return HELPER_COST + self._harm(engine, part_ms, 0) + self._risk(engine)
+
+    def _main_cost(
+        self, engine: EngineCandidate, part_ms: float
+    ) -> tuple[float, float]:
+        cost = self._late(self._first_event_ms(engine, part_ms))
+        cost += self._main_extras(engine)
+        cost += self._harm(engine, part_ms, self._demand.prompt_tokens)
+        return cost, engine.load.read_ms + engine.load.context_tokens / 1000
+
+    def _main_extras(self, engine: EngineCandidate) -> float:
+        weight = self._demand.weight
+        cost = self._risk(engine)
+        if self._demand.gap_ms <= TIGHT_GAP_MS and not _has_tight_writers(engine):
+            cost += OPEN_COST * weight
+        if engine.load.requests + 1 >= self._time.spec.slots:
+            cost += LAST_SLOT_COST * weight
+        if engine.data_centre != self._data_centre:
+            cost += AWAY_COST
+        if self._free_tokens(engine) < self._needed_tokens():
+            cost += OVER_MEMORY_COST * weight
+        return cost
+
+    def _risk(self, engine: EngineCandidate) -> float:
+        excess = max(0.0, engine.failure_share - NORMAL_FAILURE_SHARE)
+        return excess * self._demand.weight
+
+    def _late(self, first_ms: float) -> float:
+        late = lateness(first_ms, self._demand.aim_ms)
+        return LATE_SHARE * self._demand.weight * late
+
+    def _first_event_ms(self, engine: EngineCandidate, part_ms: float) -> float:
+        load = engine.load
+        own_pass_ms = self._time.pass_ms(load.writers + 1, load.context_tokens)
+        running_ms = own_pass_ms / 2 if load.writers else 0.0
+        waiting = max(0, load.requests + 1 - self._time.spec.slots)
+        taken_ms = running_ms + load.read_ms + part_ms + own_pass_ms
+        return NETWORK_MS + engine.pace * taken_ms + waiting * SLOT_WAIT_MS
+
+    def _harm(
+        self, engine: EngineCandidate, part_ms: float, context_tokens: int
+    ) -> float:
+        load = engine.load
+        if not load.gaps_ms:
+            return 0.0
+        before_ms = self._time.pass_ms(load.writers, load.context_tokens)
+        after_ms = self._time.pass_ms(
+            load.writers + (context_tokens > 0), load.context_tokens + context_tokens
+        )
+        before_ms = engine.pace * (before_ms + load.read_ms)
+        after_ms = engine.pace * (after_ms + load.read_ms + part_ms)
+        return sum(
+            LATE_SHARE
+            * weight
+            * (lateness(after_ms, gap_ms) - lateness(before_ms, gap_ms))
+            for gap_ms, weight in load.gaps_ms
+        )
+
+    def _needed_tokens(self) -> int:
+        return self._demand.prompt_tokens + self._demand.output_tokens
+
+    def _context_tokens(self, held: dict[EndpointId, int]) -> int:
+        return self._demand.prompt_tokens - sum(held.values())
+
+    def _free_tokens(self, engine: EngineCandidate) -> int:
+        capacity = int(self._time.spec.kv_tokens * MEMORY_FILL)
+        return max(0, capacity - engine.load.kv_tokens)
+
+    def _held(
+        self, main: EngineCandidate, helpers: list[EngineCandidate]
+    ) -> dict[EndpointId, int] | None:
+        """Return the memory to set aside at helpers, or ``None`` when too small.
+
+        A prompt that fits an empty engine is never spread: it waits there.
+        """
+        capacity = int(self._time.spec.kv_tokens * MEMORY_FILL)
+        needed = self._needed_tokens()
+        if needed <= capacity:
+            return {}
+        left = needed - max(
+            self._free_tokens(main), self._demand.output_tokens + capacity // 4
+        )
+        held: dict[EndpointId, int] = {}
+        for engine in sorted(helpers, key=self._free_tokens, reverse=True):
+            if left <= 0:
+                break
+            held[engine.id] = min(left, self._free_tokens(engine))
+            left -= held[engine.id]
+        return held if left <= 0 else None
+
+
+def _has_tight_writers(engine: EngineCandidate) -> bool:
+    return any(gap_ms <= TIGHT_GAP_MS for gap_ms, _ in engine.load.gaps_ms)
--- a/src/foxtailsaddle/errors.py
+++ b/src/foxtailsaddle/errors.py
@@ -211,3 +211,31 @@
 
     def __init__(self, message: str) -> None:
         super().__init__(message, verdict=Verdict.MAY_HAVE_RUN)
+
+
+class HistoryGoneError(FoxtailsaddleError):
+    """The platform's store no longer has the changes that were asked for."""
+
+    code = "history_gone"
+    status = 410
+
+
+class HeadersTooLargeError(FoxtailsaddleError):
+    """The request's head is longer than the configuration allows."""
+
+    code = "headers_too_large"
+    status = 431
+
+
+class NoEndpointError(FoxtailsaddleError):
+    """No endpoint of the service can take the request now."""
+
+    code = "no_endpoint"
+    status = 503
+
+
+class CallerGoneError(FoxtailsaddleError):
+    """The caller closed its connection."""
+
+    code = "caller_gone"
+    status = 499
--- /dev/null
+++ b/src/foxtailsaddle/forward/__init__.py
@@ -0,0 +1,14 @@
+"""Forwards callers' requests to endpoints without changing a byte of them."""
+
+from ._application import FrontApplication, FrontEnvironment, FrontSettings
+from ._exchange import KeptCaller
+from ._logs import BufferedLog, set_up
+
+__all__ = [
+    "BufferedLog",
+    "FrontApplication",
+    "FrontEnvironment",
+    "FrontSettings",
+    "KeptCaller",
+    "set_up",
+]
--- /dev/null
+++ b/src/foxtailsaddle/forward/_call.py
@@ -0,0 +1,62 @@
+"""One admitted request on its way, as the forwarders see it."""
+
+import dataclasses
+import typing as t
+
+from ..core import AccountId, EndpointId, Route, ServiceSpec, Verdict
+from ..ports import CallerRequest, Headers
+
+
+class Answering(t.Protocol):
+    """Writes the one answer that a caller gets."""
+
+    started: bool
+
+    async def head(self, status: int, headers: Headers) -> None:
+        """Send the head of the answer."""
+
+    async def data(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+    async def finish(self) -> None:
+        """End the body as complete."""
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A request that was read whole and may be forwarded.
+
+    :param arrived_at: when its first byte was read.
+    :param expires_at: when the caller's or the route's time is over.
+    :param verdict: whether it may have run so far.
+    :param runs: endpoints that may have run it.
+    :param sends: endpoints that it was sent to.
+    """
+
+    request: CallerRequest
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    route: Route
+    service: ServiceSpec
+    account: AccountId | None
+    fingerprint: str
+    arrived_at: float
+    expires_at: float
+    answering: Answering
+    verdict: Verdict = Verdict.NOT_RUN
+    runs: int = 0
+    sends: int = 0
+    tried: list[EndpointId] = dataclasses.field(default_factory=list)
+    notes: dict[str, t.Any] = dataclasses.field(default_factory=dict)
+
+    def left_s(self, now: float) -> float:
+        """Return the seconds until the request expires."""
+        return self.expires_at - now
+
+    def note_run(self) -> None:
+        """The request may have run at one more endpoint."""
+        self.runs += 1
+        if self.verdict is Verdict.NOT_RUN:
+            self.verdict = Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/src/foxtailsaddle/forward/_exchange.py
@@ -0,0 +1,152 @@
+"""One HTTP exchange as a client, over h11 and a trio socket."""
+
+import typing as t
+
+import h11
+import trio
+
+from ..errors import ExchangeBrokenError
+from ..ports import Headers, HttpReply
+from ._sockets import RECEIVE_BYTES, connect, send_all
+
+CONNECT_TIMEOUT_S = 0.5
+MAX_HEAD_BYTES = 65536
+
+
+class Exchange:
+    """A request that was sent, and its answer as it arrives."""
+
+    def __init__(self, sock: trio.socket.SocketType, address: str) -> None:
+        self._sock = sock
+        self._address = address
+        self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self.is_framed = True
+
+    @classmethod
+    async def open(
+        cls, address: str, connect_s: float = CONNECT_TIMEOUT_S
+    ) -> "Exchange":
+        """Connect to an endpoint.
+
+        :raises NothingSentError: it was not reached.
+        """
+        return cls(await connect(address, connect_s), address)
+
+    async def send(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> None:
+        """Send a whole request.
+
+        :raises ExchangeBrokenError: the connection broke; it may have run.
+        """
+        head = list(headers)
+        if body or method not in ("GET", "HEAD", "DELETE"):
+            head.append((b"content-length", b"%d" % len(body)))
+        request = h11.Request(method=method, target=target, headers=head)
+        data = self._http.send(request)
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage()) or b""
+        try:
+            await send_all(self._sock, data)
+        except OSError as error:
+            raise self._broken(error) from error
+
+    async def head(self) -> h11.Response:
+        """Wait for the head of the answer."""
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                names = {name for name, _ in event.headers}
+                self.is_framed = (
+                    b"content-length" in names or b"transfer-encoding" in names
+                )
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise self._broken("no answer")
+
+    async def data(self) -> bytes | None:
+        """Return the next bytes of the body, ``None`` once it is whole."""
+        event = await self._next()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise self._broken("closed")
+
+    async def body(self) -> bytes:
+        """Return the whole body."""
+        parts = []
+        while (part := await self.data()) is not None:
+            parts.append(part)
+        return b"".join(parts)
+
+    def next_request(self) -> bool:
+        """Make the connection ready for another exchange, if it may be kept."""
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        if self._http.trailing_data[0]:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    def close(self) -> None:
+        """Close the connection, which cancels what still runs behind it."""
+        self._sock.close()
+
+    async def _next(self) -> t.Any:
+        while True:
+            try:
+                event = self._http.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._http.receive_data(await self._sock.recv(RECEIVE_BYTES))
+            except (OSError, h11.RemoteProtocolError) as error:
+                raise self._broken(error) from error
+
+    def _broken(self, reason: object) -> ExchangeBrokenError:
+        return ExchangeBrokenError(f'"{self._address}" broke off: {reason}')
+
+
+class KeptCaller:
+    """Calls to one address, one after the other over a kept connection."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._exchange: Exchange | None = None
+
+    async def call(
+        self, method: str, target: str, body: bytes | None, timeout_s: float
+    ) -> HttpReply:
+        """Make a call; a connection that fails is not used again."""
+        exchange, self._exchange = self._exchange, None
+        if exchange is None:
+            exchange = await Exchange.open(self._address)
+        try:
+            with trio.move_on_after(timeout_s):
+                reply = await self._exchanged(exchange, method, target, body or b"")
+                if exchange.next_request():
+                    self._exchange = exchange
+                return reply
+        finally:
+            if self._exchange is not exchange:
+                exchange.close()
+        raise ExchangeBrokenError(f'"{self._address}" did not answer in {timeout_s} s')
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        if self._exchange is not None:
+            self._exchange.close()
+            self._exchange = None
+
+    async def _exchanged(
+        self, exchange: Exchange, method: str, target: str, body: bytes
+    ) -> HttpReply:
+        headers: Headers = [(b"host", self._address.encode())]
+        if body:
+            headers.append((b"content-type", b"application/json"))
+        await exchange.send(method, target, headers, body)
+        head = await exchange.head()
+        return HttpReply(head.status_code, await exchange.body())
--- /dev/null
+++ b/src/foxtailsaddle/forward/_sockets.py
@@ -0,0 +1,66 @@
+"""TCP sockets that notice when the other side has gone silent."""
+
+import socket
+
+import trio
+
+from ..errors import NothingSentError
+
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+USER_TIMEOUT_MS = 3000
+BACKLOG = 1024
+RECEIVE_BYTES = 65536
+
+
+def tune(sock: trio.socket.SocketType) -> None:
+    """Send at once, and end a connection whose other side is silent."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+async def connect(address: str, timeout_s: float) -> trio.socket.SocketType:
+    """Connect to ``host:port``.
+
+    :raises NothingSentError: nobody answered in time, or the host refused.
+    """
+    host, _, port = address.rpartition(":")
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        tune(sock)
+        with trio.move_on_after(timeout_s):
+            await sock.connect((host, int(port)))
+            return sock
+    except OSError as error:
+        sock.close()
+        refused = isinstance(error, ConnectionRefusedError)
+        raise NothingSentError(
+            f'"{address}" was not reached: {error}', refused=refused
+        ) from error
+    except BaseException:
+        sock.close()
+        raise
+    sock.close()
+    raise NothingSentError(f'"{address}" was not reached within {timeout_s:.2f} s')
+
+
+async def listen(address: str) -> trio.socket.SocketType:
+    """Listen on ``host:port``."""
+    host, _, port = address.rpartition(":")
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    await sock.bind((host, int(port)))
+    sock.listen(BACKLOG)
+    return sock
+
+
+async def send_all(sock: trio.socket.SocketType, data: bytes) -> None:
+    """Send all of ``data``."""
+    view = memoryview(data)
+    while view:
+        view = view[await sock.send(view) :]
--- /dev/null
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -0,0 +1,356 @@
+"""Forwards streams from model engines, and lets broken ones go on elsewhere."""
+
+import dataclasses
+import logging
+
+import h11
+import trio
+
+from ..core import (
+    AttemptOutcome,
+    DataCentre,
+    EngineCandidate,
+    EngineTime,
+    Job,
+    PromptDemand,
+    StreamPlan,
+    place_stream,
+)
+from ..errors import (
+    DeadlineExceededError,
+    EndpointFailedError,
+    ExchangeBrokenError,
+    NoEndpointError,
+    NothingSentError,
+)
+from ..ports import Dispatch, PromptSize, Wire
+from ._attempt import Attempt, JobIds, RefusedError
+from ._call import Call
+from ._events import EventBuffer
+from ._fleet import Fleet
+from ._reservations import Reservations
+
+logger = logging.getLogger("foxtailsaddle.stream")
+
+MAX_SENDS = 6
+OUTPUT_WEIGHT = 10
+WEIGHT_UNIT = 14_000
+RETRY_AFTER_S = 0.5
+SERVER_ERROR = 500
+OK = 200
+
+PATIENCE_S = 2.0  # clients leave a stream after the longest of these silences
+PATIENCE_AIMS = 4
+PATIENCE_GAPS = 8
+STALL_SHARE = 0.55
+PACE_EVENTS = 3
+PACE_TOLD_FROM = 1.6
+
+PRIORITY_STEPS_MS = (60.0, 250.0, 1000.0)
+FIRST_PRIORITY = 2
+
+
+@dataclasses.dataclass(slots=True)
+class _Relay:
+    """What the caller of a stream has been sent so far."""
+
+    buffer: EventBuffer
+    resumed: bool = False
+
+
+class StreamForwarder:
+    """Forwards requests whose answers are streams of events."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        wire: Wire,
+        data_centre: DataCentre,
+        ids: JobIds,
+        reservations: Reservations,
+    ) -> None:
+        self._fleet = fleet
+        self._wire = wire
+        self._data_centre = data_centre
+        self._ids = ids
+        self._reservations = reservations
+
+    async def forward(self, call: Call) -> None:
+        """Answer a request with a stream.
+
+        :raises FoxtailsaddleError: the stream could not be started or finished.
+        """
+        relay = _Relay(EventBuffer())
+        error: Exception = NoEndpointError(
+            f'service "{call.service.id}" has no engine', retry_after_s=RETRY_AFTER_S
+        )
+        while call.sends < MAX_SENDS:
+            if call.sends and not self._may_go_on(call):
+                break
+            plan = self._plan(call)
+            if plan is None:
+                break
+            call.sends += 1
+            try:
+                await self._attempt(call, plan, relay)
+                return
+            except (RefusedError, NothingSentError, ExchangeBrokenError) as failure:
+                error = failure
+                self._log_failure(call, plan, failure, relay)
+                relay.buffer.restart()
+        raise self._failure(call, error)
+
+    def _may_go_on(self, call: Call) -> bool:
+        if call.runs and not call.route.repeatable:
+            return False
+        if call.runs >= call.route.max_attempts:
+            return False
+        now = trio.current_time()
+        return call.left_s(now) > 0 and self._fleet.may_retry(call.service.id, now)
+
+    def _failure(self, call: Call, error: Exception) -> Exception:
+        if not call.runs:
+            return NoEndpointError(str(error), retry_after_s=RETRY_AFTER_S)
+        if call.left_s(trio.current_time()) <= 0:
+            return DeadlineExceededError(str(error), verdict=call.verdict)
+        return EndpointFailedError(str(error), verdict=call.verdict)
+
+    def _log_failure(
+        self, call: Call, plan: StreamPlan, error: Exception, relay: _Relay
+    ) -> None:
+        logger.warning(
+            "stream: attempt failed",
+            extra={
+                "id": call.request.id,
+                "endpoint": plan.endpoint,
+                "helpers": len(plan.helpers),
+                "events": relay.buffer.events,
+                "why": str(error),
+                "may_have_run": call.runs,
+            },
+        )
+
+    def _plan(self, call: Call) -> StreamPlan | None:
+        now = trio.current_time()
+        spec = call.service.engine
+        usable = self._fleet.endpoints.usable(call.service.id)
+        untried = [entry for entry in usable if entry.id not in call.tried]
+        good = [e for e in untried if not self._fleet.health.is_shunned(e.id, now)]
+        candidates = [
+            EngineCandidate(
+                id=entry.id,
+                data_centre=entry.data_centre,
+                load=self._fleet.books.load(entry.id, now),
+                pace=self._fleet.health.pace(entry.id, now),
+                failure_share=self._fleet.health.failure_share(entry.id, now),
+            )
+            for entry in good or untried or usable
+        ]
+        demand = _demand(call, now)
+        return place_stream(demand, candidates, EngineTime(spec), self._data_centre)
+
+    def _job(self, call: Call, plan: StreamPlan) -> Job:
+        prompt = call.request.prompt or PromptSize(0, 0)
+        return Job(
+            id=self._ids.new(),
+            origin=self._fleet.instance,
+            endpoint=plan.endpoint,
+            helpers=plan.helpers,
+            prompt_tokens=prompt.prompt,
+            output_tokens=_output_tokens(prompt),
+            part_ms=plan.part_ms,
+            gap_ms=call.route.gap_s * 1000,
+            weight=_weight(prompt),
+            placed_at=trio.current_time(),
+            held=plan.held_by_endpoint,
+        )
+
+    async def _attempt(self, call: Call, plan: StreamPlan, relay: _Relay) -> None:
+        entry = self._fleet.endpoints.get(plan.endpoint)
+        if entry is None:
+            raise NothingSentError(f'"{plan.endpoint}" is gone')
+        job = self._job(call, plan)
+        time = EngineTime(call.service.engine)
+        writing_ms = time.write_ms(job.output_tokens, 2, job.prompt_tokens)
+        left_s = call.left_s(trio.current_time())
+        with Attempt(self._fleet, self._wire, call, job, writing_ms) as attempt:
+            async with self._reservations.held(job, left_s) as helpers:
+                dispatch = self._dispatch(call, plan, helpers, relay)
+                with trio.move_on_at(call.expires_at):
+                    async with attempt.sending(entry.address, dispatch):
+                        await self._relay(call, attempt, plan, relay)
+                    return
+                raise ExchangeBrokenError(f'"{plan.endpoint}" ran out of time')
+
+    def _dispatch(
+        self,
+        call: Call,
+        plan: StreamPlan,
+        helpers: tuple[tuple[str, str], ...],
+        relay: _Relay,
+    ) -> Dispatch:
+        read_ms = plan.part_ms * (1 + len(plan.helpers))
+        steps = sum(read_ms > bound_ms for bound_ms in PRIORITY_STEPS_MS)
+        return Dispatch(
+            endpoint=plan.endpoint,
+            left_s=call.left_s(trio.current_time()),
+            account=call.account,
+            priority=FIRST_PRIORITY + steps,
+            helpers=helpers,
+            after_event=relay.buffer.last_id if relay.buffer.events else None,
+        )
+
+    async def _relay(
+        self, call: Call, attempt: Attempt, plan: StreamPlan, relay: _Relay
+    ) -> None:
+        try:
+            response = await self._head(call, attempt, plan)
+        except RefusedError as error:
+            self._blame(call, attempt, error)
+            raise
+        if response.status_code != OK:
+            await self._whole_answer(call, attempt, response)
+            return
+        if not call.answering.started:
+            headers = self._wire.caller_headers(list(response.headers))
+            await call.answering.head(response.status_code, headers)
+        await self._events(call, attempt, plan, relay)
+        attempt.outcome = AttemptOutcome.GOOD
+        await call.answering.data(relay.buffer.rest)
+        await call.answering.finish()
+
+    async def _head(
+        self, call: Call, attempt: Attempt, plan: StreamPlan
+    ) -> h11.Response:
+        limit_s = max(_stall_s(call), 2 * plan.first_event_ms / 1000)
+        if not self._has_another(call):
+            limit_s = float("inf")
+        with trio.move_on_after(limit_s):
+            response, _ = await attempt.head()
+            return response
+        attempt.outcome = AttemptOutcome.FAILED
+        raise ExchangeBrokenError(f'"{plan.endpoint}" was silent for {limit_s:.1f} s')
+
+    def _has_another(self, call: Call) -> bool:
+        return call.route.repeatable and call.runs < call.route.max_attempts
+
+    async def _events(
+        self, call: Call, attempt: Attempt, plan: StreamPlan, relay: _Relay
+    ) -> None:
+        pace = _Pace(trio.current_time())
+        stall_s = max(_stall_s(call), 2 * plan.first_event_ms / 1000)
+        if not self._has_another(call):
+            stall_s = float("inf")
+        while True:
+            data: bytes | None = None
+            with trio.move_on_after(stall_s) as scope:
+                data = await attempt.data()
+            if scope.cancelled_caught:
+                attempt.outcome = AttemptOutcome.FAILED
+                raise ExchangeBrokenError(f'"{plan.endpoint}" went silent')
+            if data is None:
+                return
+            whole = relay.buffer.feed(data)
+            if not whole:
+                continue
+            self._note_event(call, attempt, plan, pace)
+            await call.answering.data(whole)
+
+    def _note_event(
+        self, call: Call, attempt: Attempt, plan: StreamPlan, pace: "_Pace"
+    ) -> None:
+        now = trio.current_time()
+        if not pace.events:
+            self._fleet.begin(attempt.job.id, now)
+            call.notes.setdefault("predicted_ms", round(plan.first_event_ms))
+            call.notes.setdefault("first_ms", round((now - call.arrived_at) * 1000))
+        pace.note(now)
+        if pace.events == PACE_EVENTS:
+            self._judge_pace(call, attempt, pace, now)
+
+    def _judge_pace(
+        self, call: Call, attempt: Attempt, pace: "_Pace", now: float
+    ) -> None:
+        job = attempt.job
+        load = self._fleet.books.load(job.endpoint, now)
+        time = EngineTime(call.service.engine)
+        usual_ms = time.pass_ms(max(1, load.writers), load.context_tokens)
+        ratio = pace.shortest_s * 1000 / usual_ms
+        known = self._fleet.health.pace(job.endpoint, now)
+        if ratio > PACE_TOLD_FROM or known > PACE_TOLD_FROM:
+            self._fleet.note_pace(job.endpoint, ratio, now)
+
+    async def _whole_answer(
+        self, call: Call, attempt: Attempt, response: h11.Response
+    ) -> None:
+        body = await attempt.body()
+        if response.status_code >= SERVER_ERROR:
+            attempt.outcome = AttemptOutcome.FAILED
+            if self._has_another(call) or call.answering.started:
+                raise ExchangeBrokenError(
+                    f'"{attempt.job.endpoint}" answered {response.status_code}'
+                )
+        elif call.answering.started:
+            raise ExchangeBrokenError(
+                f'"{attempt.job.endpoint}" answered {response.status_code} midway'
+            )
+        headers = self._wire.caller_headers(list(response.headers))
+        await call.answering.head(response.status_code, headers)
+        await call.answering.data(body)
+        await call.answering.finish()
+
+    def _blame(self, call: Call, attempt: Attempt, error: RefusedError) -> None:
+        """Count a refusal against the endpoint that it is due to."""
+        fault = self._fleet.endpoints.at_address(error.fault_at)
+        if fault is not None and fault.id != attempt.job.endpoint:
+            attempt.blamed = fault.id
+            attempt.outcome = AttemptOutcome.UNREACHED
+            call.tried.append(fault.id)
+            return
+        attempt.outcome = AttemptOutcome.FAILED
+        call.tried.append(attempt.job.endpoint)
+
+
+class _Pace:
+    """Pauses between the events of one stream."""
+
+    def __init__(self, now: float) -> None:
+        self.events = 0
+        self.shortest_s = float("inf")
+        self._last = now
+
+    def note(self, now: float) -> None:
+        if self.events:
+            self.shortest_s = min(self.shortest_s, now - self._last)
+        self.events += 1
+        self._last = now
+
+
+def _stall_s(call: Call) -> float:
+    """Return the silence after which a stream goes on elsewhere."""
+    patience_s = max(
+        PATIENCE_S, PATIENCE_AIMS * call.route.aim_s, PATIENCE_GAPS * call.route.gap_s
+    )
+    return STALL_SHARE * patience_s
+
+
+def _output_tokens(prompt: PromptSize) -> int:
+    if prompt.likely_output is None:
+        return prompt.max_output // 2
+    return min(prompt.max_output, prompt.likely_output)
+
+
+def _weight(prompt: PromptSize) -> float:
+    return (prompt.prompt + OUTPUT_WEIGHT * _output_tokens(prompt)) / WEIGHT_UNIT
+
+
+def _demand(call: Call, now: float) -> PromptDemand:
+    prompt = call.request.prompt or PromptSize(0, 0)
+    waited_s = now - call.arrived_at
+    return PromptDemand(
+        prompt_tokens=prompt.prompt,
+        output_tokens=_output_tokens(prompt),
+        aim_ms=(call.route.aim_s - waited_s) * 1000,
+        gap_ms=call.route.gap_s * 1000,
+        weight=_weight(prompt),
+    )
--- /dev/null
+++ b/src/foxtailsaddle/forward/notes.capnp
@@ -0,0 +1,68 @@
+@0xb5c7d0a94f3e2a61;
+
+# What instances tell each other in datagrams, and the snapshot they hand out.
+
+struct Datagram {
+  sender @0 :Text;
+  incarnation @1 :UInt64;
+  dataCentre @2 :Text;
+  control @3 :Text;
+  configuration @4 :UInt64;
+  leaving @5 :Bool;
+  greeting @6 :Bool;
+  notes @7 :List(Note);
+}
+
+struct Note {
+  union {
+    placed @0 :Placed;
+    began @1 :UInt64;
+    ended @2 :Ended;
+    pace @3 :Pace;
+    death @4 :Death;
+  }
+}
+
+struct Placed {
+  job @0 :UInt64;
+  endpoint @1 :Text;
+  helpers @2 :List(Text);
+  promptTokens @3 :UInt32;
+  outputTokens @4 :UInt32;
+  partMs @5 :Float32;
+  gapMs @6 :Float32;
+  weight @7 :Float32;
+  writingMs @8 :Float32;
+  held @9 :List(Held);
+}
+
+struct Held {
+  endpoint @0 :Text;
+  tokens @1 :UInt32;
+}
+
+struct Ended {
+  job @0 :UInt64;
+  endpoint @1 :Text;
+  outcome @2 :UInt8;
+}
+
+struct Pace {
+  endpoint @0 :Text;
+  pace @1 :Float32;
+}
+
+struct Death {
+  fingerprint @0 :Text;
+  death @1 :Text;
+}
+
+struct Snapshot {
+  configurationRow @0 :Data;
+  endpoints @1 :List(Entry);
+}
+
+struct Entry {
+  key @0 :Text;
+  value @1 :Data;
+}
--- /dev/null
+++ b/src/foxtailsaddle/platform/_configuration.py
@@ -0,0 +1,102 @@
+"""The operator's configuration, decoded into a route table."""
+
+import json
+import typing as t
+
+from ..core import (
+    AccountId,
+    ClientAccount,
+    EngineSpec,
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceId,
+    ServiceSpec,
+    Split,
+    TrafficLimits,
+)
+from ..errors import SettingsError
+
+
+def decode_configuration(value: bytes) -> RouteTable:
+    """Decode a version of the configuration; unknown fields are ignored.
+
+    :raises SettingsError: a field is missing or has a wrong type.
+    """
+    try:
+        fields = json.loads(value)
+        return RouteTable(
+            version=int(fields["version"]),
+            routes=[_route(item) for item in fields["routes"]],
+            services=[_service(item) for item in fields["services"]],
+            account_by_key=_accounts(fields.get("tenants") or []),
+            limits=_limits(fields.get("limits") or {}),
+            has_accounts="tenants" in fields,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise SettingsError(f"configuration can't be read: {error!r}") from error
+
+
+def _route(item: dict[str, t.Any]) -> Route:
+    splits = item.get("traffic_split") or [{"service": item["service"], "weight": 1}]
+    return Route(
+        name=item["name"],
+        host=item["host"].lower(),
+        prefix=item["prefix"],
+        kind=RouteKind(item["kind"]),
+        splits=tuple(
+            Split(ServiceId(part["service"]), float(part["weight"])) for part in splits
+        ),
+        timeout_s=item["timeout_ms"] / 1000,
+        aim_s=item.get("target_latency_ms", item["timeout_ms"]) / 1000,
+        gap_s=item.get("target_gap_ms", 0) / 1000,
+        max_attempts=int(item.get("max_attempts", 1)),
+        priority=int(item.get("priority", 0)),
+        resumable=bool(item.get("resumable", False)),
+        public=bool(item.get("public", False)),
+    )
+
+
+def _service(item: dict[str, t.Any]) -> ServiceSpec:
+    engine = item.get("engine")
+    return ServiceSpec(
+        id=ServiceId(item["name"]),
+        health_path=item.get("health_path", "/"),
+        max_connections=int(item.get("max_connections", 0)),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(item: dict[str, t.Any]) -> EngineSpec:
+    return EngineSpec(
+        slots=int(item["slots"]),
+        kv_tokens=int(item["kv_capacity_tokens"]),
+        stride=max(1, int(item.get("stride", 1))),
+        step_ms=float(item["step_ms"]),
+        writer_ms=float(item.get("per_seq_ms", 0)),
+        context_ms_per_k=float(item.get("context_per_k", 0)),
+        read_tokens_per_ms=float(item["read_per_s"]) / 1000,
+        pair_ms_per_m=float(item.get("pairs_per_m", 0)),
+        chunk_tokens=int(item.get("chunk", 2048)),
+        hop_ms=float(item.get("hop_ms", 0)),
+    )
+
+
+def _accounts(items: list[dict[str, t.Any]]) -> dict[str, ClientAccount]:
+    account_by_key = {}
+    for item in items:
+        account = ClientAccount(AccountId(item["name"]), item.get("priority"))
+        for key in item.get("api_keys") or []:
+            account_by_key[key] = account
+    return account_by_key
+
+
+def _limits(item: dict[str, t.Any]) -> TrafficLimits:
+    usual = TrafficLimits()
+    return TrafficLimits(
+        header_bytes=int(item.get("max_header_bytes", usual.header_bytes)),
+        body_bytes=int(item.get("max_body_bytes", usual.body_bytes)),
+        header_timeout_s=item.get("header_timeout_ms", usual.header_timeout_s * 1000)
+        / 1000,
+        idle_timeout_s=item.get("idle_timeout_ms", usual.idle_timeout_s * 1000) / 1000,
+    )
--- /dev/null
+++ b/src/foxtailsaddle/platform/_names.py
@@ -0,0 +1,35 @@
+"""Names that the platform speaks: headers, calls and words."""
+
+REQUEST_ID = b"x-request-id"
+DEADLINE_MS = b"x-deadline-ms"
+PROMPT_PARTS = b"x-prompt-prefix"
+LAST_EVENT_ID = b"last-event-id"
+SEAL = b"x-server-seal"
+CLIENT_ACCOUNT = b"x-tenant"
+EXPECT_INSTANCE = b"x-expect-instance"
+NOT_RUN = b"x-not-executed"
+RETRY_AFTER = b"retry-after"
+INSTANCE_ID = b"x-instance-id"
+MODEL = b"x-model"
+TOKENS = b"x-token-usage"
+PRIORITY = b"x-request-priority"
+EXPECT_VERSION = b"x-expect-version"
+HELPERS = b"x-helpers"
+LENGTH_HINT = b"x-length-hint"
+AUTHORIZATION = b"authorization"
+FAULT_AT = b"at-server"
+SCHEME = "token"
+
+SETTINGS_VARIABLE = "FOXTAILSADDLE_BOOT"
+
+ROWS_GET = "/rows-get"
+ROWS_FEED = "/rows-feed"
+ROWS_TX = "/rows-tx"
+ORDER = "/order"
+
+CONFIG_TABLE = "op"
+CONFIG_KEY = "config"
+ENDPOINT_TABLE = "servers"
+INSTANCE_TABLE = "instances"
+
+STATUS_MISDIRECTED = 421
