--- a/src/foxtailsaddle/core/_engine_placement.py
+++ b/src/foxtailsaddle/core/_engine_placement.py
@@ -22,12 +22,14 @@
 LAST_SLOT_COST = 0.06
 AWAY_COST = 0.002  # another data centre
 HELPER_COST = 0.003
+WAIT_SHARE = 0.04  # of the worth, for a first event that takes the whole aim
 OVER_MEMORY_COST = 0.6
 TIGHT_GAP_MS = 400.0
 SLOT_WAIT_MS = 400.0
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 10, 12, 14, 17)
 SPLIT_FROM_MS = 60.0  # a prompt that is read faster has no helpers
 MEMORY_FILL = 0.97
+HOLD_FILL = 0.8  # of a helper's free memory, since its own requests grow
 NORMAL_FAILURE_SHARE = 0.0125
 NETWORK_MS = 5.0
 
@@ -53,6 +55,7 @@
     """An engine that could take part, as it is believed to be now.
 
     :param pace: how many times slower than published it is.
+    :param may_hold: false when it has just refused to set memory aside.
     """
 
     id: EndpointId
@@ -60,6 +63,7 @@
     load: EngineLoad
     pace: float = 1.0
     failure_share: float = NORMAL_FAILURE_SHARE
+    may_hold: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -217,8 +221,10 @@
         return excess * self._demand.weight
 
     def _late(self, first_ms: float) -> float:
-        late = lateness(first_ms, self._demand.aim_ms)
-        return LATE_SHARE * self._demand.weight * late
+        aim_ms = self._demand.aim_ms
+        late = LATE_SHARE * lateness(first_ms, aim_ms)
+        waiting = WAIT_SHARE * min(1.0, first_ms / aim_ms) if aim_ms > 0 else 0.0
+        return self._demand.weight * (late + waiting)
 
     def _first_event_ms(self, engine: EngineCandidate, part_ms: float) -> float:
         load = engine.load
@@ -272,10 +278,11 @@
             self._free_tokens(main), self._demand.output_tokens + capacity // 4
         )
         held: dict[EndpointId, int] = {}
-        for engine in sorted(helpers, key=self._free_tokens, reverse=True):
+        holders = [engine for engine in helpers if engine.may_hold]
+        for engine in sorted(holders, key=self._free_tokens, reverse=True):
             if left <= 0:
                 break
-            held[engine.id] = min(left, self._free_tokens(engine))
+            held[engine.id] = min(left, int(HOLD_FILL * self._free_tokens(engine)))
             left -= held[engine.id]
         return held if left <= 0 else None
 
--- a/src/foxtailsaddle/forward/_call.py
+++ b/src/foxtailsaddle/forward/_call.py
@@ -30,7 +30,10 @@
     :param expires_at: when the caller's or the route's time is over.
     :param verdict: whether it may have run so far.
     :param runs: endpoints that may have run it.
-    :param sends: endpoints that it was sent to.
+    :param sends: attempts that were begun.
+    :param tried: endpoints that failed or refused it.
+    :param full: endpoints that had no memory left for it.
+    :param notes: what the log line of its end tells besides.
     """
 
     request: CallerRequest
@@ -49,6 +52,7 @@
     runs: int = 0
     sends: int = 0
     tried: list[EndpointId] = dataclasses.field(default_factory=list)
+    full: set[EndpointId] = dataclasses.field(default_factory=set)
     notes: dict[str, t.Any] = dataclasses.field(default_factory=dict)
 
     def left_s(self, now: float) -> float:
--- a/src/foxtailsaddle/forward/_reservations.py
+++ b/src/foxtailsaddle/forward/_reservations.py
@@ -19,6 +19,19 @@
 LATE_RELEASES_S = (2.5, 5.0, 8.0, 12.5)  # an unanswered order may come as late
 
 
+class MemoryFullError(NothingSentError):
+    """An engine has not the memory that was to be set aside.
+
+    :param endpoint: the engine.
+    """
+
+    code = "memory_full"
+
+    def __init__(self, endpoint: EndpointId) -> None:
+        super().__init__(f'"{endpoint}" has no memory left')
+        self.endpoint = endpoint
+
+
 class Reservations:
     """Takes and gives back memory; the whole of it or nothing.
 
@@ -118,7 +131,7 @@
             self._unanswered.add(endpoint)
             raise
         if not done:
-            raise NothingSentError(f'"{endpoint}" has no memory left')
+            raise MemoryFullError(endpoint)
 
     async def give_back(self) -> None:
         """Release everywhere; again where an order may still be on its way."""
--- a/src/foxtailsaddle/forward/_streams.py
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -28,7 +28,7 @@
 from ._call import Call
 from ._events import EventBuffer
 from ._fleet import Fleet
-from ._reservations import Reservations
+from ._reservations import MemoryFullError, Reservations
 
 logger = logging.getLogger("foxtailsaddle.stream")
 
@@ -96,6 +96,8 @@
                 return
             except (RefusedError, NothingSentError, ExchangeBrokenError) as failure:
                 error = failure
+                if isinstance(failure, MemoryFullError):
+                    call.full.add(failure.endpoint)
                 self._log_failure(call, plan, failure, relay)
                 relay.buffer.restart()
         raise self._failure(call, error)
@@ -143,6 +145,7 @@
                 load=self._fleet.books.load(entry.id, now),
                 pace=self._fleet.health.pace(entry.id, now),
                 failure_share=self._fleet.health.failure_share(entry.id, now),
+                may_hold=entry.id not in call.full,
             )
             for entry in good or untried or usable
         ]
@@ -262,6 +265,9 @@
         now = trio.current_time()
         if not pace.events:
             self._fleet.begin(attempt.job.id, now)
+            call.notes.setdefault("parts", 1 + len(plan.helpers))
+            call.notes.setdefault("tokens", attempt.job.prompt_tokens)
+            call.notes.setdefault("held", sum(attempt.job.held.values()))
             call.notes.setdefault("predicted_ms", round(plan.first_event_ms))
             call.notes.setdefault("first_ms", round((now - call.arrived_at) * 1000))
         pace.note(now)
