--- a/src/foxtailsaddle/cli/_serve_platform.py
+++ b/src/foxtailsaddle/cli/_serve_platform.py
@@ -8,6 +8,8 @@
 from .. import forward, platform
 from ..errors import SettingsError
 
+METRICS_PORT = 9464  # as deploy/system.toml names it
+
 logger = logging.getLogger("foxtailsaddle.app")
 
 
@@ -47,6 +49,7 @@
         control=settings.control,
         seeds=settings.seeds,
         peer_port=settings.peer_port,
+        metrics_port=METRICS_PORT,
         grace_s=bounds.grace_s,
         retry_ratio=bounds.retry_ratio,
         retry_window_s=bounds.retry_window_s,
--- a/src/foxtailsaddle/forward/__init__.py
+++ b/src/foxtailsaddle/forward/__init__.py
@@ -2,7 +2,7 @@
 
 from ._application import FrontApplication, FrontEnvironment, FrontSettings
 from ._exchange import KeptCaller
-from ._logs import BufferedLog, set_up
+from ._logs import BufferedLog, NoLog, set_up
 
 __all__ = [
     "BufferedLog",
@@ -10,5 +10,6 @@
     "FrontEnvironment",
     "FrontSettings",
     "KeptCaller",
+    "NoLog",
     "set_up",
 ]
--- a/src/foxtailsaddle/forward/_admission.py
+++ b/src/foxtailsaddle/forward/_admission.py
@@ -11,7 +11,7 @@
     ServiceUnknownError,
     UnauthorizedError,
 )
-from ..ports import CallerRequest, Headers, Wire
+from ..ports import CallerRequest, Headers
 from ._call import Answering, Call
 from ._fleet import Fleet, fingerprint
 from ._plain import PlainForwarder
@@ -27,17 +27,16 @@
     def __init__(
         self,
         fleet: Fleet,
-        wire: Wire,
         streams: StreamForwarder,
         plain: PlainForwarder,
     ) -> None:
         self._fleet = fleet
-        self._wire = wire
         self._streams = streams
         self._plain = plain
 
     def admit(
         self,
+        request: CallerRequest,
         method: str,
         target: str,
         headers: Headers,
@@ -54,7 +53,6 @@
             raise NotReadyError(
                 "no configuration is known yet", retry_after_s=NOT_READY_RETRY_S
             )
-        request = self._wire.read_request(headers)
         host, path = _authority(request, target)
         route = table.find(host, path)
         if route is None:
--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -17,7 +17,6 @@
 from ._control import Page, serve_pages
 from ._fleet import Fleet
 from ._followers import SNAPSHOT_PATH, Followers
-from ._logs import BufferedLog
 from ._metrics import ForwardMetrics
 from ._notes import Snapshot, encode_snapshot
 from ._peers import Peers
@@ -30,7 +29,6 @@
 
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
-METRICS_PORT = 9464
 STOP_LISTENING_S = 3.5  # the balancer has stopped sending by then
 GRACE_MARGIN_S = 0.8
 POLL_S = 0.1
@@ -54,12 +52,23 @@
     control: str
     seeds: tuple[str, ...]
     peer_port: int
+    metrics_port: int
     grace_s: float
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
 
 
+class LogTask(t.Protocol):
+    """Writes log lines behind the work that makes them."""
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+
+    def flush_some(self) -> None:
+        """Write what is left."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FrontEnvironment:
     """Settings, and what the platform's adapter provides."""
@@ -69,8 +78,9 @@
     schema: Schema
     orders: Orders
     new_store: t.Callable[[], Store]
-    log: BufferedLog
+    log: "LogTask"
     reload: t.Callable[[], None]
+    handle_signals: bool = True
 
 
 class FrontApplication:
@@ -107,7 +117,8 @@
         logger.info("app: starting", extra={"front": self.env.settings.front})
         async with trio.open_nursery() as background:
             background.start_soon(self.env.log.run)
-            background.start_soon(self._handle_signals)
+            if self.env.handle_signals:
+                background.start_soon(self._handle_signals)
             background.start_soon(self.peers.run)
             self._greet_seeds()
             background.start_soon(self.followers.run)
@@ -121,6 +132,11 @@
         logger.info("app: stopped")
         self.env.log.flush_some()
 
+    def drain(self) -> None:
+        """Begin a graceful shutdown: readiness falls, what is here is served."""
+        logger.info("app: draining")
+        self._draining.set()
+
     def _admission(self, background: trio.Nursery) -> Admission:
         settings = self.env.settings
         ids = JobIds(random.SystemRandom().getrandbits(32))
@@ -128,7 +144,6 @@
         reservations = Reservations(self.fleet, self.env.orders, background)
         return Admission(
             self.fleet,
-            wire,
             StreamForwarder(self.fleet, wire, settings.data_centre, ids, reservations),
             PlainForwarder(self.fleet, wire, settings.data_centre, ids),
         )
@@ -144,8 +159,7 @@
                     self.env.reload()
                     logger.info("app: reloaded")
                     continue
-                logger.info("app: draining")
-                self._draining.set()
+                self.drain()
 
     async def _accept(self, nursery: trio.Nursery, admission: Admission) -> None:
         sock = await listen(self.env.settings.front)
@@ -202,7 +216,7 @@
                 snapshot = {SNAPSHOT_PATH: self._snapshot_page}
                 nursery.start_soon(serve_pages, settings.control, snapshot)
             metrics = {METRICS_PATH: self._metrics_page}
-            address = f"{settings.host}:{METRICS_PORT}"
+            address = f"{settings.host}:{settings.metrics_port}"
             nursery.start_soon(serve_pages, address, metrics)
 
     def _ready_page(self) -> Page:
--- a/src/foxtailsaddle/forward/_attempt.py
+++ b/src/foxtailsaddle/forward/_attempt.py
@@ -82,7 +82,7 @@
             self.outcome = AttemptOutcome.UNREACHED
             raise
         headers = self._wire.endpoint_headers(call.headers, dispatch)
-        call.note_run()
+        call.runs += 1
         with ungrouped():
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send, headers)
--- a/src/foxtailsaddle/forward/_call.py
+++ b/src/foxtailsaddle/forward/_call.py
@@ -28,7 +28,6 @@
 
     :param arrived_at: when its first byte was read.
     :param expires_at: when the caller's or the route's time is over.
-    :param verdict: whether it may have run so far.
     :param runs: endpoints that may have run it.
     :param sends: attempts that were begun.
     :param tried: endpoints that failed or refused it.
@@ -48,7 +47,6 @@
     arrived_at: float
     expires_at: float
     answering: Answering
-    verdict: Verdict = Verdict.NOT_RUN
     runs: int = 0
     sends: int = 0
     tried: list[EndpointId] = dataclasses.field(default_factory=list)
@@ -59,8 +57,7 @@
         """Return the seconds until the request expires."""
         return self.expires_at - now
 
-    def note_run(self) -> None:
-        """The request may have run at one more endpoint."""
-        self.runs += 1
-        if self.verdict is Verdict.NOT_RUN:
-            self.verdict = Verdict.MAY_HAVE_RUN
+    @property
+    def verdict(self) -> Verdict:
+        """Whether the request may have run so far."""
+        return Verdict.MAY_HAVE_RUN if self.runs else Verdict.NOT_RUN
--- a/src/foxtailsaddle/forward/_connection.py
+++ b/src/foxtailsaddle/forward/_connection.py
@@ -27,6 +27,8 @@
 MAX_EARLY_BYTES = 262_144  # of further requests, read while one is answered
 HEADERS_TOO_LARGE = 431
 EXPIRY_SLACK_S = 0.05
+REQUEST_LINE_BYTES = len("  HTTP/1.1\r\n")
+HEADER_LINE_BYTES = len(": \r\n")
 
 
 class Answer:
@@ -148,6 +150,7 @@
 
     async def _read_body(self, request: h11.Request) -> bytes:
         limits = self._limits()
+        _check_head(request, limits)
         _check_framing(request, limits)
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
@@ -175,13 +178,16 @@
 
     async def _answer(self, request: h11.Request, body: bytes) -> None:
         answer = Answer(self._http, self._sock, self._is_leaving())
+        headers = list(request.headers)
+        caller = self._wire.read_request(headers)
         call: Call | None = None
         outcome = "answered"
         try:
             call = self._admission.admit(
+                caller,
                 request.method.decode("ascii"),
                 request.target.decode("latin-1"),
-                list(request.headers),
+                headers,
                 body,
                 self._arrived_at,
                 answer,
@@ -192,13 +198,15 @@
             raise
         except FoxtailsaddleError as error:
             outcome = error.code
-            await self._fail(error, answer, call)
+            await self._fail(error, caller.id, answer, call)
         except Exception:
             outcome = "internal_error"
-            logger.exception("request: fault", extra={"id": _id_of(call)})
-            await self._fail(FoxtailsaddleError("internal error"), answer, call)
+            logger.exception("request: fault", extra={"id": caller.id})
+            await self._fail(
+                FoxtailsaddleError("internal error"), caller.id, answer, call
+            )
         finally:
-            self._log(call, request, answer, outcome)
+            self._log(call, caller.id, request, answer, outcome)
 
     async def _forward(self, call: Call) -> None:
         """Forward a call until it is answered, expires or its client leaves."""
@@ -232,14 +240,18 @@
             self._http.receive_data(data)
 
     async def _fail(
-        self, error: FoxtailsaddleError, answer: Answer, call: Call | None
+        self,
+        error: FoxtailsaddleError,
+        request_id: str,
+        answer: Answer,
+        call: Call | None,
     ) -> None:
         if answer.started:
             # A cut answer must look cut: it ends without its last chunk.
             raise CallerGoneError(f"the answer was cut: {error.message}")
         if call is not None and call.verdict is not Verdict.NOT_RUN:
             error.verdict = call.verdict
-        await self._refuse(error, _id_of(call), answer)
+        await self._refuse(error, request_id, answer)
 
     async def _refuse(
         self, error: FoxtailsaddleError, request_id: str, answer: Answer | None = None
@@ -262,11 +274,17 @@
         await answer.finish()
 
     def _log(
-        self, call: Call | None, request: h11.Request, answer: Answer, outcome: str
+        self,
+        call: Call | None,
+        request_id: str,
+        request: h11.Request,
+        answer: Answer,
+        outcome: str,
     ) -> None:
         took_s = trio.current_time() - self._arrived_at
         self._note_end(outcome, answer.status, took_s)
         extra: dict[str, t.Any] = {
+            "id": request_id,
             "outcome": outcome,
             "status": answer.status,
             "ms": round(took_s * 1000),
@@ -275,7 +293,6 @@
             extra["target"] = request.target.decode("latin-1")
         else:
             extra |= {
-                "id": call.request.id,
                 "route": call.route.name,
                 "endpoints": call.tried,
                 "sends": call.sends,
@@ -285,10 +302,6 @@
         logger.info("request: ended", extra=extra)
 
 
-def _id_of(call: Call | None) -> str:
-    return call.request.id if call else ""
-
-
 def _status(error: FoxtailsaddleError) -> int:
     """Return the status; one that promises "not run" only when that is true."""
     if error.status == 503 and error.verdict is not Verdict.NOT_RUN:
@@ -298,6 +311,15 @@
     return error.status
 
 
+def _check_head(request: h11.Request, limits: TrafficLimits) -> None:
+    size = len(request.method) + len(request.target) + REQUEST_LINE_BYTES
+    size += sum(
+        len(name) + len(value) + HEADER_LINE_BYTES for name, value in request.headers
+    )
+    if size > limits.header_bytes:
+        raise HeadersTooLargeError(f"the head is over {limits.header_bytes} bytes")
+
+
 def _check_framing(request: h11.Request, limits: TrafficLimits) -> None:
     lengths = [value for name, value in request.headers if name == b"content-length"]
     coded = any(name == b"transfer-encoding" for name, _ in request.headers)
--- a/src/foxtailsaddle/forward/_followers.py
+++ b/src/foxtailsaddle/forward/_followers.py
@@ -191,32 +191,42 @@
                     },
                 )
 
+        self._drop_gone(now)
+
     def _replace_list(self, values: dict[str, bytes]) -> None:
         self._fleet.entries = dict(values)
         decoded = [self._schema.endpoint(key, value) for key, value in values.items()]
         entries = [entry for entry in decoded if entry is not None]
         self._fleet.endpoints.replace(entries, trio.current_time())
+        self._drop_gone(trio.current_time())
         logger.info("list: read", extra={"endpoints": len(entries)})
 
     async def _expire(self) -> None:
         while True:
             await trio.sleep(EXPIRE_EVERY_S)
-            now = trio.current_time()
-            for endpoint in self._fleet.endpoints.expire(now):
-                self._fleet.books.forget(endpoint, now)
-                self._fleet.health.forget(endpoint)
-                logger.info("list: gone", extra={"endpoint": endpoint})
+            self._drop_gone(trio.current_time())
+
+    def _drop_gone(self, now: float) -> None:
+        for endpoint in self._fleet.endpoints.expire(now):
+            self._fleet.books.forget(endpoint, now)
+            self._fleet.health.forget(endpoint)
+            logger.info("list: gone", extra={"endpoint": endpoint})
 
     async def _register(self) -> None:
         """Keep this instance's row in the store, and learn of the others'."""
         store = self._new_store()
         table = self._schema.instance_table
+        is_new = True
         while True:
             try:
                 rows = await store.read(table)
                 stale = self._learn(rows)
                 puts = {self._fleet.instance: f"{self._host} {rows.now_ms}".encode()}
                 await store.write(table, puts, stale)
+                if is_new:
+                    # Of two that start together, the later writer sees both rows.
+                    self._learn(await store.read(table))
+                    is_new = False
             except FoxtailsaddleError as error:
                 logger.info("store: not registered", extra={"why": error.message})
                 await trio.sleep(MAX_RETRY_PAUSE_S)
--- a/src/foxtailsaddle/forward/_logs.py
+++ b/src/foxtailsaddle/forward/_logs.py
@@ -64,3 +64,13 @@
     handler = BufferedLog(instance)
     logging.basicConfig(level=level, handlers=[handler], force=True)
     return handler
+
+
+class NoLog:
+    """Leaves log lines to whoever has set up logging."""
+
+    async def run(self) -> None:
+        """Do nothing."""
+
+    def flush_some(self) -> None:
+        """Do nothing."""
--- /dev/null
+++ b/standins/front_world.py
@@ -0,0 +1,323 @@
+"""A small world on loopback: store, runners and instances in one process."""
+
+import contextlib
+import dataclasses
+import socket
+import typing as t
+
+import h11
+import trio
+
+from foxtailsaddle import forward, platform
+from foxtailsaddle.core import DataCentre, InstanceId
+
+from .rows import Rows, rows_server
+from .runner import Runner
+
+HOST = "calls.example"
+KEY = "key-1"
+ACCOUNT = "account-1"
+ENGINE = {
+    "slots": 8,
+    "kv_capacity_tokens": 232_000,
+    "stride": 43,
+    "step_ms": 1.02,
+    "per_seq_ms": 0.0045,
+    "context_per_k": 0.0043,
+    "read_per_s": 206_000.0,
+    "pairs_per_m": 0.138,
+    "chunk": 2048,
+    "hop_ms": 0.075,
+}
+
+
+def configuration(version: int = 1, **changes: t.Any) -> dict[str, t.Any]:
+    """Return a configuration with a stream, a safe and an unsafe route."""
+    common = {"host": HOST, "max_attempts": 2, "timeout_ms": 4000}
+    return {
+        "version": version,
+        "routes": [
+            common
+            | {
+                "name": "stream",
+                "prefix": "/stream/",
+                "kind": "stream",
+                "service": "model",
+                "resumable": True,
+                "sticky": True,
+                "target_latency_ms": 300,
+                "target_gap_ms": 250,
+            },
+            common
+            | {
+                "name": "safe",
+                "prefix": "/safe/",
+                "kind": "safe",
+                "service": "plain",
+                "target_latency_ms": 150,
+            },
+            common
+            | {
+                "name": "unsafe",
+                "prefix": "/unsafe/",
+                "kind": "unsafe",
+                "service": "plain",
+                "max_attempts": 1,
+                "target_latency_ms": 150,
+            },
+            common
+            | {
+                "name": "open",
+                "prefix": "/open/",
+                "kind": "safe",
+                "service": "plain",
+                "public": True,
+                "target_latency_ms": 150,
+            },
+        ],
+        "services": [
+            {"name": "model", "max_connections": 100, "engine": ENGINE},
+            {"name": "plain", "max_connections": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 8192,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 1000,
+            "idle_timeout_ms": 3000,
+        },
+        "tenants": [{"name": ACCOUNT, "api_keys": [KEY], "priority": 1}],
+        "a_field_of_tomorrow": {"x": 1},
+    } | changes
+
+
+@dataclasses.dataclass
+class Reply:
+    """What a client got.
+
+    :param cut: the answer ended before it was whole.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    cut: bool = False
+
+
+class FrontWorld:
+    """Store, runners and instances; every part may be broken by a test."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+        self.rows = Rows()
+        self.store = rows_server(self.rows, "127.0.0.1")
+        self.runners: dict[str, Runner] = {}
+        self.apps: list[forward.FrontApplication] = []
+        self._scopes: list[trio.CancelScope] = []
+        self._counter = 0
+
+    async def start_store(self) -> None:
+        """Serve the store."""
+        await self._nursery.start(self.store.run)
+
+    async def add_runner(self, id: str, service: str, **options: t.Any) -> Runner:
+        """Start a runner and list it."""
+        runner = Runner(id, service, host="127.0.0.1", **options)
+        await self._nursery.start(runner.server.run)
+        self.runners[id] = runner
+        self.rows.put("servers", id, runner.entry())
+        return runner
+
+    async def add_instance(self, **options: t.Any) -> forward.FrontApplication:
+        """Start an instance on a loopback address of its own."""
+        number = len(self.apps) + 1
+        host = f"127.0.1.{number}"
+        settings = forward.FrontSettings(
+            **{
+                "instance": InstanceId(f"i{number}"),
+                "data_centre": DataCentre("a"),
+                "host": host,
+                "front": f"{host}:{_free_port(host)}",
+                "ready": f"{host}:{_free_port(host)}",
+                "control": f"{host}:{_free_port(host)}",
+                "seeds": (),
+                "peer_port": self._peer_port(),
+                "metrics_port": _free_port(host),
+                "grace_s": 8.0,
+                "retry_ratio": 0.2,
+                "retry_window_s": 10.0,
+                "retry_slack": 100.0,
+            }
+            | options
+        )
+        app = forward.FrontApplication(
+            forward.FrontEnvironment(
+                settings=settings,
+                wire=platform.PlatformWire(),
+                schema=platform.PlatformSchema(),
+                orders=platform.EngineOrders(forward.KeptCaller),
+                new_store=lambda: platform.HttpStore(
+                    forward.KeptCaller(self.store.address)
+                ),
+                log=forward.NoLog(),
+                reload=lambda: None,
+                handle_signals=False,
+            )
+        )
+        self.apps.append(app)
+        scope = trio.CancelScope()
+        self._scopes.append(scope)
+        self._nursery.start_soon(_run, app, scope)
+        return app
+
+    def kill(self, app: forward.FrontApplication) -> None:
+        """End an instance without a word."""
+        self._scopes[self.apps.index(app)].cancel()
+
+    async def ready(self, app: forward.FrontApplication, endpoints: int = 0) -> None:
+        """Wait until an instance is ready and knows so many endpoints."""
+        with trio.fail_after(5):
+            while not await self.is_ready(app) or (
+                len(list(app.fleet.endpoints.all())) < endpoints
+            ):
+                await trio.sleep(0.02)
+
+    async def is_ready(self, app: forward.FrontApplication) -> bool:
+        """Ask an instance as the balancer does."""
+        caller = forward.KeptCaller(app.env.settings.ready)
+        try:
+            reply = await caller.call("GET", "/ready", None, 1.0)
+        except Exception:
+            return False
+        finally:
+            await caller.aclose()
+        return reply.status == 200
+
+    async def ask(
+        self, app: forward.FrontApplication, path: str, **options: t.Any
+    ) -> Reply:
+        """Send a request over a new connection and return the answer."""
+        async with await self.open(app) as client:
+            return await client.ask(path, **options)
+
+    async def open(self, app: forward.FrontApplication) -> "Client":
+        """Open a connection as a client."""
+        host, _, port = app.env.settings.front.rpartition(":")
+        return Client(await trio.open_tcp_stream(host, int(port)), self)
+
+    def new_id(self) -> str:
+        """Return an id for a request."""
+        self._counter += 1
+        return f"{self._counter:016x}"
+
+    def _peer_port(self) -> int:
+        if self.apps:
+            return self.apps[0].env.settings.peer_port
+        return _free_port("127.0.1.1", socket.SOCK_DGRAM)
+
+
+class Client:
+    """A client's connection."""
+
+    def __init__(self, stream: trio.SocketStream, world: FrontWorld) -> None:
+        self.stream = stream
+        self._world = world
+        self._http = h11.Connection(h11.CLIENT)
+
+    async def __aenter__(self) -> "Client":
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stream.aclose()
+
+    def bytes_of(
+        self,
+        path: str,
+        body: bytes = b"",
+        key: str | None = KEY,
+        headers: dict[str, str] | None = None,
+        method: str = "POST",
+        host: str = HOST,
+    ) -> bytes:
+        """Return a request as bytes."""
+        fields = {
+            "Host": host,
+            "X-Request-Id": self._world.new_id(),
+            "X-Deadline-Ms": "3000",
+            "Content-Length": str(len(body)),
+        }
+        if path.startswith("/stream/"):
+            fields["X-Token-Usage"] = "1460,80"
+        if key:
+            fields["Authorization"] = f"Token {key}"
+        fields |= headers or {}
+        request = h11.Request(method=method, target=path, headers=list(fields.items()))
+        data = self._http.send(request)
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        return data + (self._http.send(h11.EndOfMessage()) or b"")
+
+    async def ask(self, path: str, **options: t.Any) -> Reply:
+        """Send a request and return the answer."""
+        await self.stream.send_all(self.bytes_of(path, **options))
+        return await self.reply()
+
+    async def reply(self) -> Reply:
+        """Read one answer."""
+        reply = Reply(0, {}, b"")
+        while True:
+            try:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    self._http.receive_data(await self.stream.receive_some(65536))
+                    continue
+            except (h11.RemoteProtocolError, trio.BrokenResourceError):
+                reply.cut = True
+                return reply
+            if isinstance(event, h11.Response):
+                reply.status = event.status_code
+                reply.headers = {
+                    name.decode(): value.decode() for name, value in event.headers
+                }
+            elif isinstance(event, h11.Data):
+                reply.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                if self._http.our_state is h11.DONE:
+                    with contextlib.suppress(h11.LocalProtocolError):
+                        self._http.start_next_cycle()
+                return reply
+            else:
+                reply.cut = True
+                return reply
+
+
+async def _run(app: forward.FrontApplication, scope: trio.CancelScope) -> None:
+    with scope:
+        await app.run()
+
+
+def _free_port(host: str, kind: int = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
+
+
+@contextlib.asynccontextmanager
+async def front_world(
+    *, engines: int = 3, plain: int = 2, instances: int = 1, **options: t.Any
+) -> t.AsyncIterator[FrontWorld]:
+    """Run a world with a configuration, runners and ready instances."""
+    with trio.fail_after(30):
+        async with trio.open_nursery() as nursery:
+            world = FrontWorld(nursery)
+            await world.start_store()
+            world.rows.put("op", "config", configuration())
+            for number in range(engines):
+                await world.add_runner(f"e{number}", "model", streams=True)
+            for number in range(plain):
+                await world.add_runner(f"p{number}", "plain")
+            for _ in range(instances):
+                await world.add_instance(**options)
+            for app in world.apps:
+                await world.ready(app, engines + plain)
+            yield world
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/standins/rows.py
@@ -0,0 +1,149 @@
+"""The users' platform store: rows in tables, and a feed of their changes."""
+
+import base64
+import collections
+import dataclasses
+import json
+import typing as t
+
+import trio
+
+from .wire import WireConnection, WireRequest, WireServer
+
+
+@dataclasses.dataclass
+class RowsKnobs:
+    """Faults of the store.
+
+    :param refuse: status that every call gets, 0 for none.
+    :param silent: calls are read and never answered.
+    :param slow_s: added to each answer.
+    :param lose_writes: so many coming writes are done and not answered.
+    """
+
+    refuse: int = 0
+    silent: bool = False
+    slow_s: float = 0.0
+    lose_writes: int = 0
+
+
+class Rows:
+    """The store's state."""
+
+    def __init__(self) -> None:
+        self.knobs = RowsKnobs()
+        self.version = 0
+        self.oldest = 0
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.rows: dict[tuple[str, str], tuple[int, bytes]] = {}
+        self._changes: list[tuple[int, str, str, bytes | None]] = []
+        self._changed = trio.Event()
+
+    def put(self, table: str, key: str, value: t.Any) -> int:
+        """Write a row; a value that is not bytes is written as JSON."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        return self._apply([(table, key, data)])
+
+    def drop(self, table: str, key: str) -> int:
+        """Remove a row."""
+        return self._apply([(table, key, None)])
+
+    def forget_history(self) -> None:
+        """Answer 410 to whoever asks for changes up to now."""
+        self.oldest = self.version
+        self._changes.clear()
+        self._wake()
+
+    async def handle(self, connection: WireConnection, request: WireRequest) -> bool:
+        """Answer one call."""
+        self.calls[request.path] += 1
+        if self.knobs.silent:
+            await connection.wait_closed()
+            return False
+        if self.knobs.refuse:
+            return await connection.answer(self.knobs.refuse)
+        await trio.sleep(self.knobs.slow_s)
+        if request.path == "/rows-tx":
+            return await self._write(connection, request)
+        if request.path == "/rows-get":
+            return await self._read(connection, request)
+        if request.path == "/rows-feed":
+            return await self._feed(connection, request)
+        return await connection.answer(404)
+
+    def _apply(self, changes: list[tuple[str, str, bytes | None]]) -> int:
+        self.version += 1
+        for table, key, value in changes:
+            if value is None:
+                self.rows.pop((table, key), None)
+            else:
+                self.rows[table, key] = (self.version, value)
+            self._changes.append((self.version, table, key, value))
+        self._wake()
+        return self.version
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _write(self, connection: WireConnection, request: WireRequest) -> bool:
+        call = request.json()
+        for row in call.get("expected_revision", []):
+            found = self.rows.get((row["table"], row["key"]), (0, b""))
+            if found[0] != row["ver"]:
+                return await self._reply(connection, 412, rows=[])
+        changes: list[tuple[str, str, bytes | None]] = [
+            (row["table"], row["key"], base64.b64decode(row["value"]))
+            for row in call["writes"]
+        ]
+        changes += [(row["table"], row["key"], None) for row in call["delete"]]
+        self._apply(changes)
+        if self.knobs.lose_writes:
+            self.knobs.lose_writes -= 1
+            await connection.wait_closed()
+            return False
+        return await self._reply(connection, 200)
+
+    async def _read(self, connection: WireConnection, request: WireRequest) -> bool:
+        table, start = request.query["table"], request.query.get("from", "")
+        rows = [
+            _row(name, key, version, value)
+            for (name, key), (version, value) in sorted(self.rows.items())
+            if name == table and key >= start
+        ]
+        return await self._reply(connection, 200, rows=rows, more_pages=False)
+
+    async def _feed(self, connection: WireConnection, request: WireRequest) -> bool:
+        table, after = request.query["table"], int(request.query["after"])
+        with trio.move_on_after(int(request.query["wait_ms"]) / 1000):
+            while after >= self.oldest and not self._since(table, after):
+                await self._changed.wait()
+        if after < self.oldest:
+            return await self._reply(connection, 410)
+        return await self._reply(connection, 200, rows=self._since(table, after))
+
+    def _since(self, table: str, after: int) -> list[dict[str, t.Any]]:
+        return [
+            _row(name, key, version, value)
+            for version, name, key, value in self._changes
+            if name == table and version > after
+        ]
+
+    async def _reply(
+        self, connection: WireConnection, status: int, **fields: t.Any
+    ) -> bool:
+        now_ms = int(trio.current_time() * 1000)
+        body = json.dumps({"ver": self.version, "now_ms": now_ms, **fields})
+        return await connection.answer(status, body.encode())
+
+
+def _row(table: str, key: str, version: int, value: bytes | None) -> dict[str, t.Any]:
+    row = {"table": table, "part": "", "key": key, "ver": version}
+    if value is None:
+        return row | {"removed": True}
+    return row | {"value": base64.b64encode(value).decode()}
+
+
+def rows_server(rows: Rows, host: str) -> WireServer:
+    """Return a server for the store."""
+    return WireServer(rows.handle, host)
--- /dev/null
+++ b/standins/runner.py
@@ -0,0 +1,221 @@
+"""A runner on the users' platform: model engine or plain service.
+
+The engine's times are those of its published speeds, without the work of
+others: enough for tests of what is sent and what becomes of it.
+"""
+
+import contextlib
+import dataclasses
+import json
+import typing as t
+from enum import Enum
+
+import trio
+
+from .wire import WireConnection, WireRequest, WireServer
+
+
+class Fault(Enum):
+    """What a runner does wrong."""
+
+    NONE = "none"
+    ERROR = "error"  # answers 500 after it has run
+    REFUSE = "refuse"  # answers 503 and states that it has not run
+    MISDIRECTED = "misdirected"
+    HANG = "hang"  # takes the request and says nothing
+    RESET = "reset"  # resets after it has run
+    CUT = "cut"  # breaks off in the middle of an event
+    TRUNCATE = "truncate"  # ends the body before its length
+    GARBAGE = "garbage"  # bytes that are no answer
+    OTHER_ID = "other_id"  # another request's answer
+    EXTRA = "extra"  # a second answer after a whole one
+    UNFRAMED = "unframed"  # no length, ends with its connection
+    EARLY = "early"  # answers before the body is read
+
+
+@dataclasses.dataclass
+class Run:
+    """A request that this runner began to run."""
+
+    request: WireRequest
+    ended: bool = False
+    cancelled: bool = False
+
+    @property
+    def id(self) -> str:
+        """The request's id."""
+        return self.request.headers["x-request-id"]
+
+
+class Runner:
+    """One runner.
+
+    :param events: events of each stream.
+    :param work_s: time to the answer, or to the first event.
+    :param gap_s: time between events.
+    :param faults: for the coming requests, one each; then ``fault``.
+    """
+
+    def __init__(
+        self,
+        id: str,
+        service: str,
+        *,
+        host: str,
+        zone: str = "a",
+        streams: bool = False,
+        events: int = 4,
+        work_s: float = 0.01,
+        gap_s: float = 0.01,
+        slots: int = 8,
+    ) -> None:
+        self.id = id
+        self.service = service
+        self.zone = zone
+        self.streams = streams
+        self.events = events
+        self.work_s = work_s
+        self.gap_s = gap_s
+        self.slots = slots
+        self.fault = Fault.NONE
+        self.faults: list[Fault] = []
+        self.seen: list[WireRequest] = []
+        self.runs: list[Run] = []
+        self.tickets: dict[str, int] = {}
+        self.orders: list[dict[str, t.Any]] = []
+        self.free_tokens = 232_000
+        self.server = WireServer(self.handle, host)
+
+    def entry(self, **changes: t.Any) -> dict[str, t.Any]:
+        """Return this runner's entry in the list."""
+        return {
+            "service": self.service,
+            "address": self.server.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+        } | changes
+
+    async def handle(self, connection: WireConnection, request: WireRequest) -> bool:
+        """Answer one request."""
+        if request.path == "/order":
+            return await self._order(connection, request)
+        self.seen.append(request)
+        fault = self.faults.pop(0) if self.faults else self.fault
+        if request.headers.get("x-expect-instance", self.id) != self.id:
+            fault = Fault.MISDIRECTED
+        if fault is Fault.REFUSE:
+            return await connection.answer(503, headers={"x-not-executed": "1"})
+        if fault is Fault.MISDIRECTED:
+            return await connection.answer(421, headers={"x-instance-id": self.id})
+        run = Run(request)
+        self.runs.append(run)
+        try:
+            with trio.CancelScope() as scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(_cancel_when_closed, connection, run, scope)
+                    await self._run(connection, request, fault)
+                    run.ended = True
+                    nursery.cancel_scope.cancel()
+        finally:
+            run.cancelled = not run.ended
+        return False
+
+    async def _run(
+        self, connection: WireConnection, request: WireRequest, fault: Fault
+    ) -> None:
+        if fault is Fault.HANG:
+            await trio.sleep_forever()
+        await trio.sleep(self.work_s)
+        if fault is Fault.RESET:
+            connection.reset()
+            return
+        if fault is Fault.GARBAGE:
+            await connection.raw(b"\x00\x01 this is no answer\r\n\r\n")
+            return
+        if self.streams and fault is not Fault.ERROR:
+            await self._stream(connection, request, fault)
+            return
+        status = 500 if fault is Fault.ERROR else 200
+        await self._whole(connection, request, fault, status)
+
+    async def _whole(
+        self,
+        connection: WireConnection,
+        request: WireRequest,
+        fault: Fault,
+        status: int,
+    ) -> None:
+        body = json.dumps({"by": self.id, "got": len(request.body)}).encode()
+        head = self._head(request, fault, status)
+        if fault is Fault.UNFRAMED:
+            await connection.raw(head + b"connection: close\r\n\r\n" + body)
+            return
+        sized = head + b"content-length: %d\r\n\r\n" % len(body)
+        if fault is Fault.TRUNCATE:
+            body = body[:-3]
+        await connection.raw(sized + body)
+        if fault is Fault.EXTRA:
+            await connection.raw(sized + body)
+
+    async def _stream(
+        self, connection: WireConnection, request: WireRequest, fault: Fault
+    ) -> None:
+        first = int(request.headers.get("last-event-id") or 0) + 1
+        head = self._head(request, fault, 200) + b"content-type: text/event-stream\r\n"
+        unframed = fault is Fault.UNFRAMED
+        framing = b"connection: close" if unframed else b"transfer-encoding: chunked"
+        await connection.raw(head + framing + b"\r\n\r\n")
+        for number in range(first, self.events + 1):
+            event = b"id: %d\ndata: token-%d\n\n" % (number, number)
+            if fault is Fault.CUT and number == first + 1:
+                await connection.raw(_chunk(event[:-5]))
+                connection.reset()
+                return
+            await connection.raw(event if unframed else _chunk(event))
+            await trio.sleep(self.gap_s)
+        if not unframed:
+            await connection.raw(b"0\r\n\r\n")
+
+    def _head(self, request: WireRequest, fault: Fault, status: int) -> bytes:
+        id = request.headers.get("x-request-id", "")
+        if fault is Fault.OTHER_ID:
+            id = "another-request"
+        lines = [
+            f"HTTP/1.1 {status} whatever",
+            f"X-Request-Id: {id}",
+            f"X-Server-Seal: {self.id}.{len(self.runs)}",
+        ]
+        return "\r\n".join(lines).encode() + b"\r\n"
+
+    async def _order(self, connection: WireConnection, request: WireRequest) -> bool:
+        order = request.json()
+        self.orders.append(order)
+        if order["operation"] == "release":
+            self.free_tokens += self.tickets.pop(order["id"], 0)
+            return await connection.answer(200, b"{}")
+        if order["id"] not in self.tickets:
+            if order["tokens"] > self.free_tokens:
+                return await connection.answer(409, b"{}")
+            self.tickets[order["id"]] = order["tokens"]
+            self.free_tokens -= order["tokens"]
+        body = json.dumps({"free": self.free_tokens}).encode()
+        return await connection.answer(200, body)
+
+
+async def _cancel_when_closed(
+    connection: WireConnection, run: Run, scope: trio.CancelScope
+) -> None:
+    with contextlib.suppress(
+        OSError, trio.BrokenResourceError, trio.ClosedResourceError
+    ):
+        await connection.wait_closed()
+    run.cancelled = not run.ended
+    scope.cancel()
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n" % len(data) + data + b"\r\n"
--- /dev/null
+++ b/standins/wire.py
@@ -0,0 +1,130 @@
+"""A small HTTP server whose answers may be wrong on purpose, over h11 and trio."""
+
+import dataclasses
+import json
+import socket
+import struct
+import typing as t
+import urllib.parse
+
+import h11
+import trio
+
+RECEIVE_BYTES = 65536
+
+
+@dataclasses.dataclass
+class WireRequest:
+    """A request that was read whole."""
+
+    method: str
+    path: str
+    target: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> t.Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+class WireConnection:
+    """One connection of a client; answers are written as raw bytes."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._http = h11.Connection(h11.SERVER, 1 << 20)
+
+    async def request(self) -> WireRequest | None:
+        """Return the next request, ``None`` at the end."""
+        head: h11.Request | None = None
+        body = b""
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return _request(head, body)
+            else:
+                return None
+
+    async def answer(
+        self, status: int, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> bool:
+        """Send a whole answer; return whether the connection may go on."""
+        items = [(name, value) for name, value in (headers or {}).items()]
+        items.append(("content-length", str(len(body))))
+        data = self._http.send(h11.Response(status_code=status, headers=items))
+        data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._stream.send_all(data)
+        if self._http.our_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    async def raw(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        await self._stream.send_all(data)
+
+    async def wait_closed(self) -> None:
+        """Return once the client has closed its side."""
+        while await self._stream.receive_some(RECEIVE_BYTES):
+            pass
+
+    def reset(self) -> None:
+        """End the connection with a reset."""
+        sock = self._stream.socket
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+
+
+Handler = t.Callable[[WireConnection, WireRequest], t.Awaitable[bool]]
+
+
+class WireServer:
+    """Serves a handler on one address; may be stopped and started again."""
+
+    def __init__(self, handler: Handler, host: str) -> None:
+        self._handler = handler
+        self._host = host
+        self.port = 0
+
+    @property
+    def address(self) -> str:
+        """Where it listens, ``host:port``."""
+        return f"{self._host}:{self.port}"
+
+    async def run(self, task_status: t.Any = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        listeners = await trio.open_tcp_listeners(self.port, host=self._host)
+        self.port = listeners[0].socket.getsockname()[1]
+        await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = WireConnection(stream)
+        try:
+            async with stream:
+                while (request := await connection.request()) is not None:
+                    if not await self._handler(connection, request):
+                        return
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        except h11.ProtocolError:
+            return
+
+
+def _request(head: h11.Request, body: bytes) -> WireRequest:
+    target = head.target.decode("latin-1")
+    path, _, query = target.partition("?")
+    headers = {
+        name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers
+    }
+    fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+    return WireRequest(head.method.decode(), path, target, fields, headers, body)
--- /dev/null
+++ b/tests/test_forward_requests.py
@@ -0,0 +1,371 @@
+"""Requests on the users' platform: what reaches an endpoint, and what returns."""
+
+import json
+
+import trio
+
+from foxtailsaddle import forward
+from foxtailsaddle.platform import PlatformSchema
+from standins.front_world import ACCOUNT, HOST, configuration
+from standins.runner import Fault
+from tests.front import eventually, in_world
+
+
+class TestForwarding:
+    @in_world()
+    async def test_method_path_and_body_are_unchanged(self, world):
+        body = bytes(range(256)) * 20
+        target = "/safe/a%2fb/../c;d=1?x=%20&y"
+        await world.ask(world.apps[0], target, body=body, method="PUT")
+        seen = [request for p in ("p0", "p1") for request in world.runners[p].seen]
+        assert [(r.method, r.target, r.body) for r in seen] == [("PUT", target, body)]
+
+    @in_world()
+    async def test_the_answer_keeps_seal_and_body(self, world):
+        reply = await world.ask(world.apps[0], "/safe/x")
+        assert reply.status == 200
+        assert reply.headers["x-server-seal"].startswith("p")
+        assert json.loads(reply.body)["by"] in ("p0", "p1")
+
+    @in_world(plain=1)
+    async def test_our_headers_replace_the_clients(self, world):
+        spoofed = {
+            "X-Tenant": "someone",
+            "X-Expect-Instance": "other",
+            "X-Request-Priority": "0",
+            "X-Helpers": "10.0.0.1:80",
+            "X-Kept": "yes",
+        }
+        await world.ask(world.apps[0], "/safe/x", headers=spoofed)
+        headers = world.runners["p0"].seen[0].headers
+        assert headers["x-tenant"] == ACCOUNT
+        assert headers["x-expect-instance"] == "p0"
+        assert headers["x-kept"] == "yes"
+        assert "authorization" not in headers
+        assert "x-helpers" not in headers
+        assert "x-request-priority" not in headers
+        assert 2000 < int(headers["x-deadline-ms"]) <= 3000
+
+    @in_world(plain=1)
+    async def test_a_chunked_body_arrives_whole(self, world):
+        async with await world.open(world.apps[0]) as client:
+            head = client.bytes_of("/safe/x").replace(
+                b"Content-Length: 0", b"Transfer-Encoding: chunked"
+            )
+            await client.stream.send_all(head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+            assert (await client.reply()).status == 200
+        assert world.runners["p0"].seen[0].body == b"abcde"
+
+    @in_world(plain=1)
+    async def test_pipelined_requests_are_answered_in_order(self, world):
+        async with await world.open(world.apps[0]) as client:
+            first = client.bytes_of("/safe/1")
+            await client.stream.send_all(first + first.replace(b"/safe/1", b"/safe/2"))
+            data = b""
+            while data.count(b"HTTP/1.1 200") < 2:
+                data += await client.stream.receive_some(4096)
+        seen = [request.target for request in world.runners["p0"].seen]
+        assert seen == ["/safe/1", "/safe/2"]
+
+    @in_world(plain=1)
+    async def test_a_connection_serves_many_requests(self, world):
+        async with await world.open(world.apps[0]) as client:
+            for _ in range(5):
+                assert (await client.ask("/safe/x")).status == 200
+
+
+class TestRefusals:
+    @in_world()
+    async def test_a_path_without_route_is_404(self, world):
+        reply = await world.ask(world.apps[0], "/nowhere/x")
+        assert reply.status == 404
+        assert json.loads(reply.body)["code"] == "service_unknown"
+        assert reply.headers["x-request-id"]
+
+    @in_world()
+    async def test_another_host_is_404(self, world):
+        assert (
+            await world.ask(world.apps[0], "/safe/x", host="no.example")
+        ).status == 404
+
+    @in_world()
+    async def test_an_unknown_key_is_401(self, world):
+        reply = await world.ask(world.apps[0], "/safe/x", key="wrong")
+        assert reply.status == 401
+        assert not world.runners["p0"].seen
+
+    @in_world()
+    async def test_a_public_route_needs_no_key(self, world):
+        assert (await world.ask(world.apps[0], "/open/x", key=None)).status == 200
+
+    @in_world()
+    async def test_a_body_over_the_limit_is_413(self, world):
+        reply = await world.ask(world.apps[0], "/safe/x", body=b"x" * 100_001)
+        assert reply.status == 413
+
+    @in_world()
+    async def test_a_head_over_the_limit_is_431(self, world):
+        headers = {"X-Big": "x" * 9000}
+        reply = await world.ask(world.apps[0], "/safe/x", headers=headers)
+        assert reply.status == 431
+
+    @in_world(plain=1)
+    async def test_a_smuggled_request_reaches_nobody(self, world):
+        inner = b"GET /safe/smuggled HTTP/1.1\r\nHost: %s\r\n\r\n" % HOST.encode()
+        async with await world.open(world.apps[0]) as client:
+            data = client.bytes_of("/safe/x", body=inner).replace(
+                b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n", 1
+            )
+            await client.stream.send_all(data)
+            assert (await client.reply()).status == 400
+        assert not world.runners["p0"].seen
+
+    @in_world()
+    async def test_bytes_that_are_no_request_are_400(self, world):
+        async with await world.open(world.apps[0]) as client:
+            client.bytes_of("/safe/x")
+            await client.stream.send_all(b"\x00\x01\x02 nonsense\r\n\r\n")
+            assert (await client.reply()).status == 400
+
+    @in_world(plain=0, engines=0)
+    async def test_a_service_without_endpoints_is_503_with_a_time(self, world):
+        reply = await world.ask(world.apps[0], "/unsafe/x")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert json.loads(reply.body)["verdict"] == "not_run"
+
+
+class TestBeforeTheFirstConfiguration:
+    @in_world(instances=0)
+    async def test_not_ready_and_503(self, world):
+        world.rows.knobs.refuse = 503
+        app = await world.add_instance()
+        await trio.sleep(0.2)
+        assert not await world.is_ready(app)
+        reply = await world.ask(app, "/safe/x")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+
+
+class TestFailingEndpoints:
+    @in_world(plain=2)
+    async def test_a_safe_call_goes_on_elsewhere(self, world):
+        for fault in (
+            Fault.ERROR,
+            Fault.RESET,
+            Fault.GARBAGE,
+            Fault.TRUNCATE,
+            Fault.OTHER_ID,
+            Fault.REFUSE,
+            Fault.MISDIRECTED,
+        ):
+            world.runners["p0"].fault = fault
+            for _ in range(3):
+                reply = await world.ask(world.apps[0], "/safe/x")
+                assert reply.status == 200, fault
+                assert json.loads(reply.body)["by"] == "p1"
+
+    @in_world(plain=1)
+    async def test_an_unsafe_call_runs_once_and_promises_nothing(self, world):
+        for fault in (Fault.RESET, Fault.GARBAGE, Fault.TRUNCATE, Fault.OTHER_ID):
+            world.runners["p0"].runs.clear()
+            world.runners["p0"].faults = [fault]
+            reply = await world.ask(world.apps[0], "/unsafe/x")
+            assert reply.status == 502, fault
+            assert len(world.runners["p0"].runs) == 1
+            assert json.loads(reply.body)["verdict"] == "may_have_run"
+
+    @in_world(plain=2)
+    async def test_an_unsafe_call_that_was_refused_goes_on_elsewhere(self, world):
+        world.runners["p0"].fault = Fault.REFUSE
+        for _ in range(4):
+            assert (await world.ask(world.apps[0], "/unsafe/x")).status == 200
+        assert not world.runners["p0"].runs
+
+    @in_world(plain=1)
+    async def test_a_refused_call_is_said_not_to_have_run(self, world):
+        world.runners["p0"].fault = Fault.REFUSE
+        reply = await world.ask(world.apps[0], "/unsafe/x")
+        assert reply.status == 503
+        assert json.loads(reply.body)["verdict"] == "not_run"
+
+    @in_world(plain=1)
+    async def test_a_runners_own_failure_passes_with_its_seal(self, world):
+        world.runners["p0"].fault = Fault.ERROR
+        reply = await world.ask(world.apps[0], "/unsafe/x")
+        assert reply.status == 500
+        assert "x-server-seal" in reply.headers
+
+    @in_world(plain=1)
+    async def test_a_second_answer_belongs_to_no_request(self, world):
+        world.runners["p0"].fault = Fault.EXTRA
+        async with await world.open(world.apps[0]) as client:
+            for _ in range(3):
+                assert (await client.ask("/safe/x")).status == 200
+
+    @in_world(plain=1)
+    async def test_an_answer_without_length_arrives_whole(self, world):
+        world.runners["p0"].fault = Fault.UNFRAMED
+        reply = await world.ask(world.apps[0], "/safe/x")
+        assert json.loads(reply.body)["by"] == "p0"
+
+    @in_world(plain=1)
+    async def test_the_time_is_over(self, world):
+        world.runners["p0"].fault = Fault.HANG
+        began = trio.current_time()
+        headers = {"X-Deadline-Ms": "600"}
+        reply = await world.ask(world.apps[0], "/unsafe/x", headers=headers)
+        assert reply.status == 504
+        assert 0.5 < trio.current_time() - began < 1.1
+
+    @in_world(plain=1)
+    async def test_an_address_with_another_endpoint_is_not_run(self, world):
+        world.rows.put("servers", "p0", world.runners["p0"].entry(state="gone"))
+        world.rows.put("servers", "was-p0", world.runners["p0"].entry())
+        app = world.apps[0]
+        await eventually(lambda: app.fleet.endpoints.get("was-p0"))
+        reply = await world.ask(app, "/unsafe/x")
+        assert reply.status == 503
+        assert not world.runners["p0"].runs
+
+
+class TestClientsThatLeave:
+    @in_world(plain=1)
+    async def test_cancels_a_call_within_half_a_second(self, world):
+        world.runners["p0"].fault = Fault.HANG
+        client = await world.open(world.apps[0])
+        await client.stream.send_all(client.bytes_of("/safe/x"))
+        await eventually(lambda: world.runners["p0"].runs)
+        await client.stream.aclose()
+        await eventually(lambda: world.runners["p0"].runs[0].cancelled, 0.5)
+
+    @in_world(engines=1)
+    async def test_cancels_a_stream_within_half_a_second(self, world):
+        world.runners["e0"].events = 1000
+        client = await world.open(world.apps[0])
+        await client.stream.send_all(client.bytes_of("/stream/x"))
+        await client.stream.receive_some(100)
+        await client.stream.aclose()
+        await eventually(lambda: world.runners["e0"].runs[0].cancelled, 0.5)
+        app = world.apps[0]
+        assert len(app.fleet.books) == 0
+
+
+class TestConfiguration:
+    @in_world(plain=1)
+    async def test_a_key_that_was_taken_away_is_refused(self, world):
+        app = world.apps[0]
+        world.rows.put("op", "config", configuration(5, tenants=[]))
+        await eventually(lambda: app.fleet.table.version == 5, 1.0)
+        assert (await world.ask(app, "/safe/x")).status == 401
+
+    @in_world(plain=1)
+    async def test_an_older_version_is_not_taken(self, world):
+        app = world.apps[0]
+        world.rows.put("op", "config", configuration(7))
+        await eventually(lambda: app.fleet.table.version == 7)
+        world.rows.put("op", "config", configuration(3, tenants=[]))
+        await trio.sleep(0.3)
+        assert app.fleet.table.version == 7
+
+    @in_world(plain=1)
+    async def test_one_that_cannot_be_read_loses_nothing(self, world):
+        app = world.apps[0]
+        world.rows.put("op", "config", b"{not json")
+        world.rows.put("op", "config", configuration(9, routes=[{"name": "broken"}]))
+        await trio.sleep(0.3)
+        assert app.fleet.table.version == 1
+        assert (await world.ask(app, "/safe/x")).status == 200
+
+    @in_world(plain=1)
+    async def test_forgotten_history_is_read_anew(self, world):
+        app = world.apps[0]
+        world.rows.put("op", "config", configuration(2))
+        world.rows.forget_history()
+        await eventually(lambda: app.fleet.table.version == 2)
+
+    @in_world(plain=1, instances=2)
+    async def test_comes_from_a_peer_while_the_store_refuses_one(self, world):
+        first, second = world.apps
+        await eventually(lambda: first.peers.live() and second.peers.live())
+        world.rows.knobs.refuse = 503
+        await eventually(lambda: second.followers.list.is_away, 5.0)
+        table = platform_table(configuration(4))
+        first.fleet.table, first.fleet.configuration_row = table
+        await eventually(lambda: second.fleet.table.version == 4)
+
+
+def platform_table(fields):
+    """Return a table and the row that it was decoded from."""
+    row = json.dumps(fields).encode()
+    return PlatformSchema().configuration(row), row
+
+
+class TestList:
+    @in_world(plain=2)
+    async def test_a_draining_endpoint_gets_nothing_new(self, world):
+        app = world.apps[0]
+        world.rows.put("servers", "p0", world.runners["p0"].entry(state="draining"))
+        await eventually(lambda: len(app.fleet.endpoints.usable("plain")) == 1, 1.0)
+        for _ in range(4):
+            assert (await world.ask(app, "/safe/x")).status == 200
+        assert not world.runners["p0"].seen
+
+    @in_world(plain=1)
+    async def test_foreign_and_broken_entries_name_no_endpoint(self, world):
+        good = world.runners["p0"].entry()
+        broken = [
+            b"\xff\xfe",
+            b"[]",
+            {},
+            good | {"state": "asleep"},
+            good | {"address": 7},
+            good | {"address": "nowhere"},
+            good | {"service": None},
+            good | {"slots": "many"},
+        ]
+        for number, entry in enumerate(broken):
+            world.rows.put("servers", f"x{number}", entry)
+        world.rows.put("servers", "last", good)
+        app = world.apps[0]
+        await eventually(lambda: app.fleet.endpoints.get("last"))
+        assert len(list(app.fleet.endpoints.all())) == 5
+
+    @in_world(plain=1)
+    async def test_what_was_known_holds_while_the_store_is_away(self, world):
+        app = world.apps[0]
+        world.rows.knobs.silent = True
+        await eventually(lambda: app.followers.list.is_away, 6.0)
+        assert (await world.ask(app, "/safe/x")).status == 200
+
+
+class TestStopping:
+    @in_world(plain=1)
+    async def test_a_graceful_shutdown_cuts_no_request(self, world):
+        world.runners["p0"].work_s = 1.0
+        app = world.apps[0]
+        client = await world.open(app)
+        await client.stream.send_all(client.bytes_of("/unsafe/x"))
+        await eventually(lambda: world.runners["p0"].runs)
+        app.drain()
+        await trio.sleep(0.05)
+        assert not await world.is_ready(app)
+        assert (await client.reply()).status == 200
+        late = await world.ask(app, "/unsafe/x")
+        assert late.status == 200
+        assert late.headers["connection"] == "close"
+
+
+class TestKeptCaller:
+    @in_world(plain=0, engines=0)
+    async def test_a_lost_answer_ends_the_connection(self, world):
+        world.rows.knobs.lose_writes = 1
+        store = forward.KeptCaller(world.store.address)
+        body = json.dumps({"writes": [], "delete": []}).encode()
+        try:
+            await store.call("POST", "/rows-tx", body, 0.2)
+        except Exception as error:
+            assert error.code == "exchange_broken"
+        reply = await store.call("POST", "/rows-tx", body, 1.0)
+        assert reply.status == 200
+        await store.aclose()
--- /dev/null
+++ b/tests/test_forward_streams.py
@@ -0,0 +1,155 @@
+"""Streams on the users' platform: whole, in order, and once."""
+
+import trio
+
+from standins.runner import Fault
+from tests.front import eventually, in_world
+
+
+def numbers(body: bytes) -> list[int]:
+    """Return the ids of the events in a stream."""
+    lines = body.decode().splitlines()
+    return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+
+class TestWhole:
+    @in_world()
+    async def test_every_event_arrives_once(self, world):
+        reply = await world.ask(world.apps[0], "/stream/x")
+        assert numbers(reply.body) == [1, 2, 3, 4]
+        assert reply.body.endswith(b"\n\n")
+        assert not reply.cut
+
+    @in_world(engines=1)
+    async def test_events_are_passed_on_as_they_come(self, world):
+        world.runners["e0"].gap_s = 0.3
+        async with await world.open(world.apps[0]) as client:
+            await client.stream.send_all(client.bytes_of("/stream/x"))
+            data = b""
+            began = trio.current_time()
+            while b"id: 1" not in data:
+                data += await client.stream.receive_some(4096)
+            assert trio.current_time() - began < 0.25
+
+    @in_world(engines=1)
+    async def test_one_without_length_ends_with_its_connection(self, world):
+        world.runners["e0"].fault = Fault.UNFRAMED
+        reply = await world.ask(world.apps[0], "/stream/x")
+        assert numbers(reply.body) == [1, 2, 3, 4]
+        assert not reply.cut
+
+    @in_world(engines=1)
+    async def test_a_client_may_resume(self, world):
+        headers = {"Last-Event-Id": "2"}
+        reply = await world.ask(world.apps[0], "/stream/x", headers=headers)
+        assert numbers(reply.body) == [3, 4]
+
+
+class TestBroken:
+    @in_world(engines=2)
+    async def test_goes_on_elsewhere_inside_one_answer(self, world):
+        for runner in world.runners.values():
+            runner.faults = [Fault.CUT]
+        world.runners["e1"].faults = []
+        for _ in range(3):
+            world.runners["e0"].faults = [Fault.CUT]
+            reply = await world.ask(world.apps[0], "/stream/x")
+            assert reply.status == 200
+            assert numbers(reply.body) == [1, 2, 3, 4]
+            assert not reply.cut
+        resumed = [run.request.headers for run in world.runners["e1"].runs]
+        assert "1" in [headers.get("last-event-id") for headers in resumed]
+
+    @in_world(engines=1)
+    async def test_one_that_nobody_finishes_looks_cut(self, world):
+        world.runners["e0"].fault = Fault.CUT
+        reply = await world.ask(world.apps[0], "/stream/x")
+        assert reply.cut
+
+    @in_world(engines=2)
+    async def test_a_reset_before_the_first_event_goes_on_elsewhere(self, world):
+        world.runners["e0"].fault = Fault.RESET
+        for _ in range(3):
+            reply = await world.ask(world.apps[0], "/stream/x")
+            assert numbers(reply.body) == [1, 2, 3, 4]
+
+    @in_world(engines=2)
+    async def test_a_silent_engine_is_left(self, world):
+        world.runners["e0"].fault = Fault.HANG
+        reply = await world.ask(world.apps[0], "/stream/x")
+        assert numbers(reply.body) == [1, 2, 3, 4]
+
+    @in_world(engines=2)
+    async def test_runs_on_no_more_engines_than_the_route_allows(self, world):
+        for name in ("e0", "e1"):
+            world.runners[name].fault = Fault.RESET
+        reply = await world.ask(world.apps[0], "/stream/x")
+        assert reply.status == 502
+        assert sum(len(world.runners[n].runs) for n in ("e0", "e1")) == 2
+
+
+class TestLongPrompts:
+    @in_world(engines=6)
+    async def test_are_read_with_helpers(self, world):
+        headers = {"X-Token-Usage": "130000,700"}
+        reply = await world.ask(world.apps[0], "/stream/x", headers=headers)
+        assert reply.status == 200
+        (run,) = [run for r in world.runners.values() for run in r.runs]
+        helpers = run.request.headers["x-helpers"].split(",")
+        addresses = {runner.server.address for runner in world.runners.values()}
+        assert set(helpers) <= addresses
+        assert len(helpers) >= 3
+
+    @in_world(engines=6)
+    async def test_past_one_engines_memory_hold_reservations(self, world):
+        headers = {"X-Token-Usage": "500000,700"}
+        reply = await world.ask(world.apps[0], "/stream/x", headers=headers)
+        assert reply.status == 200
+        (run,) = [run for r in world.runners.values() for run in r.runs]
+        assert "/" in run.request.headers["x-helpers"]
+        await eventually(lambda: not any(r.tickets for r in world.runners.values()))
+
+    @in_world(engines=6)
+    async def test_a_client_that_leaves_gives_memory_back(self, world):
+        for runner in world.runners.values():
+            runner.work_s = 10.0
+        client = await world.open(world.apps[0])
+        headers = {"X-Token-Usage": "500000,700"}
+        await client.stream.send_all(client.bytes_of("/stream/x", headers=headers))
+        await eventually(lambda: any(r.runs for r in world.runners.values()))
+        await client.stream.aclose()
+        await eventually(lambda: not any(r.tickets for r in world.runners.values()))
+
+    @in_world(engines=6)
+    async def test_a_helper_without_memory_is_not_asked_twice(self, world):
+        world.runners["e0"].free_tokens = 0
+        headers = {"X-Token-Usage": "700000,700"}
+        await world.ask(world.apps[0], "/stream/x", headers=headers)
+        asked = [o for o in world.runners["e0"].orders if o["operation"] == "reserve"]
+        assert len(asked) <= 1
+
+
+class TestPeers:
+    @in_world(engines=3, instances=2)
+    async def test_what_one_places_the_other_knows(self, world):
+        first, second = world.apps
+        await eventually(lambda: first.peers.live() and second.peers.live())
+        for runner in world.runners.values():
+            runner.work_s = 0.5
+        async with await world.open(first) as client:
+            await client.stream.send_all(client.bytes_of("/stream/x"))
+            await eventually(lambda: len(second.fleet.books) == 1, 0.4)
+            await client.reply()
+        await eventually(lambda: len(second.fleet.books) == 0)
+
+    @in_world(engines=3, instances=2)
+    async def test_what_a_dead_instance_placed_is_forgotten(self, world):
+        first, second = world.apps
+        await eventually(lambda: first.peers.live() and second.peers.live())
+        for runner in world.runners.values():
+            runner.work_s = 20.0
+        client = await world.open(first)
+        await client.stream.send_all(client.bytes_of("/stream/x"))
+        await eventually(lambda: len(second.fleet.books) == 1)
+        world.kill(first)
+        await eventually(lambda: len(second.fleet.books) == 0, 8.0)
