--- a/src/foxtailsaddle/cli/_serve_platform.py
+++ b/src/foxtailsaddle/cli/_serve_platform.py
@@ -59,7 +59,7 @@
         settings=front,
         wire=platform.PlatformWire(),
         schema=platform.PlatformSchema(),
-        orders=platform.EngineOrders(forward.KeptCaller),
+        desk=platform.EngineDesk(forward.KeptCaller),
         new_store=lambda: platform.HttpStore(forward.KeptCaller(settings.store)),
         log=log,
         reload=lambda: _reload(path),
--- a/src/foxtailsaddle/core/_endpoint_health.py
+++ b/src/foxtailsaddle/core/_endpoint_health.py
@@ -17,7 +17,6 @@
 SHUN_FAILURES = 1.5
 MAX_PACE = 20.0
 MIN_PACE = 0.5
-PACE_GAIN = 0.5
 
 
 class AttemptOutcome(Enum):
@@ -59,8 +58,7 @@
     def note_pace(self, endpoint: EndpointId, pace: float, now: float) -> None:
         """Take in how much slower than predicted an endpoint was."""
         record = self._faded(endpoint, now)
-        pace = min(MAX_PACE, max(MIN_PACE, pace))
-        record.pace += PACE_GAIN * (pace - record.pace)
+        record.pace = min(MAX_PACE, max(MIN_PACE, pace))
 
     def failure_share(self, endpoint: EndpointId, now: float) -> float:
         """Return the share of attempts that is expected to fail."""
--- a/src/foxtailsaddle/core/_engine_books.py
+++ b/src/foxtailsaddle/core/_engine_books.py
@@ -128,6 +128,10 @@
             if job.origin == origin:
                 self.end(job.id, now)
 
+    def jobs_of(self, origin: InstanceId) -> list[Job]:
+        """Return the jobs of an instance that have not ended."""
+        return [job for job in self._job_by_id.values() if job.origin == origin]
+
     def expire(self, now: float) -> None:
         """Remove jobs whose end was never told."""
         for job in list(self._job_by_id.values()):
--- a/src/foxtailsaddle/core/_engine_placement.py
+++ b/src/foxtailsaddle/core/_engine_placement.py
@@ -30,6 +30,7 @@
 SPLIT_FROM_MS = 60.0  # a prompt that is read faster has no helpers
 MEMORY_FILL = 0.97
 HOLD_FILL = 0.8  # of a helper's free memory, since its own requests grow
+SLOW_PACE = 1.25
 NORMAL_FAILURE_SHARE = 0.0125
 NETWORK_MS = 5.0
 
@@ -181,11 +182,16 @@
         able = [
             engine
             for engine in candidates
-            if engine.id != main.id and engine.load.helping < self._time.spec.slots
+            if engine.id != main.id and self._may_help(engine)
         ]
         able.sort(key=lambda engine: self._helper_order(engine, part_ms))
         return able[:count]
 
+    def _may_help(self, engine: EngineCandidate) -> bool:
+        """A part that is read at a slow engine holds up the whole prompt."""
+        is_free = engine.load.helping < self._time.spec.slots
+        return is_free and engine.pace < SLOW_PACE
+
     def _helper_order(
         self, engine: EngineCandidate, part_ms: float
     ) -> tuple[float, float]:
--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -10,7 +10,7 @@
 import trio
 
 from ..core import DataCentre, InstanceId, RetryWindow, TrafficLimits
-from ..ports import Orders, Schema, Store, Wire
+from ..ports import Desk, Schema, Store, Wire
 from ._admission import Admission
 from ._attempt import JobIds
 from ._connection import ClientConnection
@@ -21,6 +21,7 @@
 from ._notes import Snapshot, encode_snapshot
 from ._peers import Peers
 from ._plain import PlainForwarder
+from ._reports import ReportWatcher
 from ._reservations import Reservations
 from ._sockets import listen
 from ._streams import StreamForwarder
@@ -76,7 +77,7 @@
     settings: FrontSettings
     wire: Wire
     schema: Schema
-    orders: Orders
+    desk: Desk
     new_store: t.Callable[[], Store]
     log: "LogTask"
     reload: t.Callable[[], None]
@@ -108,6 +109,7 @@
         self.followers = Followers(
             self.fleet, self.peers, env.schema, env.new_store, settings.host
         )
+        self.reports = ReportWatcher(self.fleet, self.peers, env.desk)
         self.metrics = ForwardMetrics()
         self._connections: set[ClientConnection] = set()
         self._draining = trio.Event()
@@ -122,6 +124,7 @@
             background.start_soon(self.peers.run)
             self._greet_seeds()
             background.start_soon(self.followers.run)
+            background.start_soon(self.reports.run)
             background.start_soon(self._serve_small_pages)
             async with trio.open_nursery() as clients:
                 clients.start_soon(self._accept, clients, self._admission(background))
@@ -141,7 +144,7 @@
         settings = self.env.settings
         ids = JobIds(random.SystemRandom().getrandbits(32))
         wire = self.env.wire
-        reservations = Reservations(self.fleet, self.env.orders, background)
+        reservations = Reservations(self.fleet, self.env.desk, background)
         return Admission(
             self.fleet,
             StreamForwarder(self.fleet, wire, settings.data_centre, ids, reservations),
--- a/src/foxtailsaddle/forward/_peers.py
+++ b/src/foxtailsaddle/forward/_peers.py
@@ -230,8 +230,7 @@
             return
         if peer is None:
             peer = self._by_id[greeting.sender] = Peer(greeting.sender, address)
-        if not self._is_live(peer):
-            logger.info("peers: heard", extra={"peer": peer.id})
+        is_new = not self._is_live(peer) or greeting.incarnation > peer.incarnation
         if peer.incarnation and greeting.incarnation > peer.incarnation:
             self._fleet.books.end_of(peer.id, now)
         peer.address = address
@@ -241,9 +240,26 @@
         peer.control = greeting.control
         peer.configuration = greeting.configuration
         peer.leaving = greeting.leaving
-        if greeting.wants_reply:
+        if is_new:
+            logger.info("peers: heard", extra={"peer": peer.id})
+            self._send_own_jobs(address)
+        elif greeting.wants_reply:
             self._send(address, [], wants_reply=False)
 
+    def _send_own_jobs(self, address: tuple[str, int]) -> None:
+        """Tell a newcomer what engines are busy with on this instance's behalf."""
+        now = trio.current_time()
+        notes: list[Note] = []
+        for job in self._fleet.books.jobs_of(self._fleet.instance):
+            writing_ms = max(0.0, job.ends_at - max(now, job.read_until)) * 1000
+            notes.append(Placed(job, writing_ms))
+            if job.began:
+                notes.append(Began(job.id))
+        self._send(address, notes[:NOTES_PER_DATAGRAM], wants_reply=False)
+        for start in range(NOTES_PER_DATAGRAM, len(notes), NOTES_PER_DATAGRAM):
+            batch = notes[start : start + NOTES_PER_DATAGRAM]
+            self._send(address, batch, wants_reply=False)
+
     def _take(self, note: Note) -> None:
         now = trio.current_time()
         fleet = self._fleet
--- a/src/foxtailsaddle/forward/_reservations.py
+++ b/src/foxtailsaddle/forward/_reservations.py
@@ -8,7 +8,7 @@
 
 from ..core import EndpointId, Job
 from ..errors import FoxtailsaddleError, NothingSentError
-from ..ports import Orders
+from ..ports import Desk
 from ._fleet import Fleet
 from ._nursery import ungrouped
 
@@ -41,9 +41,9 @@
     :param nursery: for what goes on after a request has ended.
     """
 
-    def __init__(self, fleet: Fleet, orders: Orders, nursery: trio.Nursery) -> None:
+    def __init__(self, fleet: Fleet, desk: Desk, nursery: trio.Nursery) -> None:
         self._fleet = fleet
-        self._orders = orders
+        self._desk = desk
         self._nursery = nursery
 
     @contextlib.asynccontextmanager
@@ -78,9 +78,9 @@
         return addresses
 
     @property
-    def orders(self) -> Orders:
+    def desk(self) -> Desk:
         """Where the orders are sent."""
-        return self._orders
+        return self._desk
 
 
 class _Holding:
@@ -123,7 +123,7 @@
         address = self._addresses[endpoint]
         tokens = self._job.held[endpoint]
         try:
-            done = await self._owner.orders.reserve(address, self._id, tokens, HOLD_S)
+            done = await self._owner.desk.reserve(address, self._id, tokens, HOLD_S)
         except FoxtailsaddleError as error:
             self._unanswered.add(endpoint)
             raise NothingSentError(error.message) from error
@@ -146,7 +146,7 @@
 
     async def _release(self, endpoint: EndpointId) -> None:
         try:
-            await self._owner.orders.release(self._addresses[endpoint], self._id)
+            await self._owner.desk.release(self._addresses[endpoint], self._id)
         except FoxtailsaddleError as error:
             self._unanswered.add(endpoint)
             logger.info(
--- a/src/foxtailsaddle/forward/_streams.py
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -43,6 +43,7 @@
 PATIENCE_AIMS = 4
 PATIENCE_GAPS = 8
 STALL_SHARE = 0.55
+HELPED_SLACK_S = 1.0  # a part that is stuck at a helper shows by then
 PACE_EVENTS = 3
 PACE_TOLD_FROM = 1.6
 
@@ -91,6 +92,7 @@
             if plan is None:
                 break
             call.sends += 1
+            self._log_placed(call, plan)
             try:
                 await self._attempt(call, plan, relay)
                 return
@@ -117,6 +119,28 @@
             return DeadlineExceededError(str(error), verdict=call.verdict)
         return EndpointFailedError(str(error), verdict=call.verdict)
 
+    def _log_placed(self, call: Call, plan: StreamPlan) -> None:
+        now = trio.current_time()
+        load = self._fleet.books.load(plan.endpoint, now)
+        logger.info(
+            "stream: placed",
+            extra={
+                "id": call.request.id,
+                "endpoint": plan.endpoint,
+                "helpers": plan.helpers,
+                "held": dict(plan.held_by_endpoint),
+                "tokens": call.request.prompt.prompt if call.request.prompt else 0,
+                "first_event_ms": round(plan.first_event_ms),
+                "loss": round(plan.loss, 3),
+                "requests_there": load.requests,
+                "reading_ms": round(load.read_ms),
+                "memory_there": load.kv_tokens,
+                "pace": round(self._fleet.health.pace(plan.endpoint, now), 2),
+                "waited_ms": round((now - call.arrived_at) * 1000),
+                "configuration": self._fleet.table.version,
+            },
+        )
+
     def _log_failure(
         self, call: Call, plan: StreamPlan, error: Exception, relay: _Relay
     ) -> None:
@@ -225,15 +249,26 @@
     async def _head(
         self, call: Call, attempt: Attempt, plan: StreamPlan
     ) -> h11.Response:
-        limit_s = max(_stall_s(call), 2 * plan.first_event_ms / 1000)
-        if not self._has_another(call):
-            limit_s = float("inf")
+        limit_s = self._first_event_limit_s(call, plan)
         with trio.move_on_after(limit_s):
             response, _ = await attempt.head()
             return response
-        attempt.outcome = AttemptOutcome.FAILED
+        if plan.helpers:
+            # Any of them may be the one that has not read its part.
+            call.tried += plan.helpers
+        else:
+            attempt.outcome = AttemptOutcome.FAILED
         raise ExchangeBrokenError(f'"{plan.endpoint}" was silent for {limit_s:.1f} s')
 
+    def _first_event_limit_s(self, call: Call, plan: StreamPlan) -> float:
+        """Return the silence after which a request goes on elsewhere."""
+        if not self._has_another(call):
+            return float("inf")
+        predicted_s = plan.first_event_ms / 1000
+        if plan.helpers:
+            return HELPED_SLACK_S + 2 * predicted_s
+        return max(_stall_s(call), 2 * predicted_s)
+
     def _has_another(self, call: Call) -> bool:
         return call.route.repeatable and call.runs < call.route.max_attempts
 
@@ -265,6 +300,7 @@
         now = trio.current_time()
         if not pace.events:
             self._fleet.begin(attempt.job.id, now)
+            call.notes.setdefault("endpoint", plan.endpoint)
             call.notes.setdefault("parts", 1 + len(plan.helpers))
             call.notes.setdefault("tokens", attempt.job.prompt_tokens)
             call.notes.setdefault("held", sum(attempt.job.held.values()))
--- a/src/foxtailsaddle/platform/__init__.py
+++ b/src/foxtailsaddle/platform/__init__.py
@@ -2,14 +2,14 @@
 
 from ._headers import PlatformWire
 from ._names import SETTINGS_VARIABLE
-from ._orders import EngineOrders
+from ._orders import EngineDesk
 from ._schema import PlatformSchema
 from ._settings import Bounds, ProcessSettings, read_process_settings
 from ._store import HttpStore
 
 __all__ = [
     "Bounds",
-    "EngineOrders",
+    "EngineDesk",
     "HttpStore",
     "PlatformSchema",
     "PlatformWire",
--- a/src/foxtailsaddle/platform/_names.py
+++ b/src/foxtailsaddle/platform/_names.py
@@ -26,6 +26,7 @@
 ROWS_FEED = "/rows-feed"
 ROWS_TX = "/rows-tx"
 ORDER = "/order"
+REPORT = "/report"
 
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
--- a/src/foxtailsaddle/ports/_front.py
+++ b/src/foxtailsaddle/ports/_front.py
@@ -175,8 +175,25 @@
         """Close the connection."""
 
 
-class Orders(t.Protocol):
-    """Orders to engines about their memory."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What a model engine says of its load; it is some hundred ms old.
+
+    :param pace: how many times slower than its published speed it works.
+    :param kv_used: memory that can't yield, in tokens.
+    """
+
+    pace: float
+    queued: int
+    running: int
+    kv_used: int
+
+
+class Desk(t.Protocol):
+    """Orders to engines about their memory, and their reports."""
+
+    async def report(self, address: str) -> EngineReport:
+        """Ask an engine for its load."""
 
     async def reserve(self, address: str, id: str, tokens: int, hold_s: float) -> bool:
         """Set memory aside; false when the engine has none."""
--- a/standins/front_world.py
+++ b/standins/front_world.py
@@ -154,7 +154,7 @@
                 settings=settings,
                 wire=platform.PlatformWire(),
                 schema=platform.PlatformSchema(),
-                orders=platform.EngineOrders(forward.KeptCaller),
+                desk=platform.EngineDesk(forward.KeptCaller),
                 new_store=lambda: platform.HttpStore(
                     forward.KeptCaller(self.store.address)
                 ),
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -84,6 +84,7 @@
         self.tickets: dict[str, int] = {}
         self.orders: list[dict[str, t.Any]] = []
         self.free_tokens = 232_000
+        self.pace = 1.0
         self.server = WireServer(self.handle, host)
 
     def entry(self, **changes: t.Any) -> dict[str, t.Any]:
@@ -103,6 +104,8 @@
         """Answer one request."""
         if request.path == "/order":
             return await self._order(connection, request)
+        if request.path == "/report":
+            return await self._report(connection)
         self.seen.append(request)
         fault = self.faults.pop(0) if self.faults else self.fault
         if request.headers.get("x-expect-instance", self.id) != self.id:
@@ -191,6 +194,11 @@
         ]
         return "\r\n".join(lines).encode() + b"\r\n"
 
+    async def _report(self, connection: WireConnection) -> bool:
+        running = sum(not (run.ended or run.cancelled) for run in self.runs)
+        report = {"pace": self.pace, "queued": 0, "running": running, "kv_used": 0}
+        return await connection.answer(200, json.dumps(report).encode())
+
     async def _order(self, connection: WireConnection, request: WireRequest) -> bool:
         order = request.json()
         self.orders.append(order)
--- a/tests/test_engine_placement.py
+++ b/tests/test_engine_placement.py
@@ -70,6 +70,12 @@
         pass_ms = TIME.pass_ms(3, 10_000)
         assert plan.part_ms + pass_ms < 250
 
+    def test_have_no_slow_helper(self):
+        """A third of the engines turns slow: a part there holds up the whole."""
+        slow = [engine(f"slow{n}", pace=3.2) for n in range(5)]
+        plan = place(long_prompt(), slow + [engine(str(n)) for n in range(9)])
+        assert not {plan.endpoint, *plan.helpers} & {e.id for e in slow}
+
     def test_no_engine_is_no_plan(self):
         assert place(long_prompt(), []) is None
 
--- a/tests/test_forward_streams.py
+++ b/tests/test_forward_streams.py
@@ -129,6 +129,33 @@
         assert len(asked) <= 1
 
 
+class TestSlowHelpers:
+    """Some engines turn slow, and never read their part of a long prompt."""
+
+    @in_world(engines=6)
+    async def test_a_part_that_is_stuck_is_not_waited_for(self, world):
+        whoever_is_first = [Fault.HANG]
+        for runner in world.runners.values():
+            runner.faults = whoever_is_first
+        headers = {"X-Token-Usage": "130000,700", "X-Deadline-Ms": "15000"}
+        began = trio.current_time()
+        reply = await world.ask(world.apps[0], "/stream/x", headers=headers)
+        assert numbers(reply.body) == [1, 2, 3, 4]
+        assert 1.0 < trio.current_time() - began < 3.0
+
+    @in_world(engines=6)
+    async def test_one_that_reports_to_be_slow_does_not_help(self, world):
+        world.runners["e0"].pace = 3.0
+        app = world.apps[0]
+        await eventually(lambda: app.fleet.health.pace("e0", trio.current_time()) > 2)
+        headers = {"X-Token-Usage": "130000,700"}
+        await world.ask(app, "/stream/x", headers=headers)
+        (run,) = [run for r in world.runners.values() for run in r.runs]
+        assert (
+            world.runners["e0"].server.address not in run.request.headers["x-helpers"]
+        )
+
+
 class TestPeers:
     @in_world(engines=3, instances=2)
     async def test_what_one_places_the_other_knows(self, world):
@@ -142,6 +169,16 @@
             await client.reply()
         await eventually(lambda: len(second.fleet.books) == 0)
 
+    @in_world(engines=3)
+    async def test_a_new_instance_learns_what_runs(self, world):
+        for runner in world.runners.values():
+            runner.work_s = 20.0
+        client = await world.open(world.apps[0])
+        await client.stream.send_all(client.bytes_of("/stream/x"))
+        await eventually(lambda: any(r.runs for r in world.runners.values()))
+        late = await world.add_instance()
+        await eventually(lambda: len(late.fleet.books) == 1)
+
     @in_world(engines=3, instances=2)
     async def test_what_a_dead_instance_placed_is_forgotten(self, world):
         first, second = world.apps
