--- a/src/foxtailsaddle/cli/_main.py
+++ b/src/foxtailsaddle/cli/_main.py
@@ -11,7 +11,9 @@
 EXIT_FAILED = 1
 EXIT_CONFLICT = 3
 EXIT_NOT_IN_FORCE = 4
+EXIT_SETTINGS = 2
 EXIT_BY_CODE = {
+    "settings_invalid": EXIT_SETTINGS,
     "settings_conflict": EXIT_CONFLICT,
     "not_in_force": EXIT_NOT_IN_FORCE,
 }
@@ -89,7 +91,9 @@
         serve_platform(config, log_level)
 
     def check(self, file: str) -> str:
-        """Validate a settings file and say what it holds."""
+        """Validate a settings file, ours or the platform's, and say what it holds."""
+        if file.endswith(".toml"):
+            return _check_platform_file(file)
         from ..adapters import read_settings_file
 
         tree = read_settings_file(file).tree
@@ -111,6 +115,16 @@
         )
 
 
+def _check_platform_file(file: str) -> str:
+    from ..platform import read_process_settings
+
+    settings = read_process_settings(file)
+    return (
+        f"{file}: valid; instance {settings.instance} in {settings.data_centre}, "
+        f"callers at {settings.front}, store at {settings.store}"
+    )
+
+
 def main() -> None:
     """Run the command line; errors go to standard error with their code."""
     try:
--- a/src/foxtailsaddle/core/_engine_placement.py
+++ b/src/foxtailsaddle/core/_engine_placement.py
@@ -21,6 +21,7 @@
 OPEN_COST = 0.03  # an engine without tight writers is kept for long prompts
 LAST_SLOT_COST = 0.06
 AWAY_COST = 0.002  # another data centre
+SPREAD_COST = 0.02  # differs by instance, so that they don't choose alike
 HELPER_COST = 0.003
 WAIT_SHARE = 0.04  # of the worth, for a first event that takes the whole aim
 OVER_MEMORY_COST = 0.6
@@ -90,12 +91,14 @@
     candidates: t.Sequence[EngineCandidate],
     time: EngineTime,
     data_centre: DataCentre,
+    spread: t.Callable[[EndpointId], float] = lambda _: 0.0,
 ) -> StreamPlan | None:
     """Return the plan that costs all callers least, or ``None`` without engines.
 
     :param data_centre: that of the instance that decides.
+    :param spread: this instance's order among equal engines, from 0 to 1.
     """
-    placing = _Placing(demand, time, data_centre)
+    placing = _Placing(demand, time, data_centre, spread)
     best: StreamPlan | None = None
     for parts in _part_counts(time.read_ms(demand.prompt_tokens), len(candidates)):
         plan = placing.plan(candidates, parts)
@@ -125,11 +128,16 @@
     """The reckoning for one request."""
 
     def __init__(
-        self, demand: PromptDemand, time: EngineTime, data_centre: DataCentre
+        self,
+        demand: PromptDemand,
+        time: EngineTime,
+        data_centre: DataCentre,
+        spread: t.Callable[[EndpointId], float],
     ) -> None:
         self._demand = demand
         self._time = time
         self._data_centre = data_centre
+        self._spread = spread
 
     def plan(
         self, candidates: t.Sequence[EngineCandidate], parts: int
@@ -211,7 +219,7 @@
 
     def _main_extras(self, engine: EngineCandidate) -> float:
         weight = self._demand.weight
-        cost = self._risk(engine)
+        cost = self._risk(engine) + SPREAD_COST * weight * self._spread(engine.id)
         if self._demand.gap_ms <= TIGHT_GAP_MS and not _has_tight_writers(engine):
             cost += OPEN_COST * weight
         if engine.load.requests + 1 >= self._time.spec.slots:
--- a/src/foxtailsaddle/core/_ownership.py
+++ b/src/foxtailsaddle/core/_ownership.py
@@ -14,5 +14,11 @@
     return max(members, key=lambda member: _score(key, member), default=None)
 
 
+def rank_of_member(key: str, member: str, others: t.Iterable[str]) -> int:
+    """Return how many of ``others`` come before ``member`` for ``key``."""
+    own = _score(key, member)
+    return sum(_score(key, other) > own for other in others)
+
+
 def _score(key: str, member: str) -> tuple[int, str]:
     return xxhash.xxh64_intdigest(f"{key}\0{member}".encode()), member
--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -13,7 +13,7 @@
 from ..ports import Desk, Schema, Store, Wire
 from ._admission import Admission
 from ._attempt import JobIds
-from ._connection import ClientConnection
+from ._connection import ClientConnection, Stage
 from ._control import Page, serve_pages
 from ._fleet import Fleet
 from ._followers import SNAPSHOT_PATH, Followers
@@ -30,7 +30,7 @@
 
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
-STOP_LISTENING_S = 3.5  # the balancer has stopped sending by then
+STOP_TAKING_S = 2.7  # the balancer has stopped sending by then
 GRACE_MARGIN_S = 0.8
 POLL_S = 0.1
 ACCEPT_PAUSE_S = 0.05
@@ -99,7 +99,6 @@
         self.fleet = Fleet(settings.instance, retries)
         self.peers = Peers(
             self.fleet,
-            settings.data_centre,
             settings.control,
             settings.host,
             settings.peer_port,
@@ -113,6 +112,7 @@
         self.metrics = ForwardMetrics()
         self._connections: set[ClientConnection] = set()
         self._draining = trio.Event()
+        self._takes_requests = True
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what is in flight."""
@@ -186,7 +186,7 @@
             admission,
             self.env.wire,
             self._limits,
-            self._draining.is_set,
+            self._stage,
             self.metrics.note_request,
         )
         self._connections.add(connection)
@@ -195,6 +195,11 @@
         finally:
             self._connections.discard(connection)
 
+    def _stage(self) -> Stage:
+        if not self._takes_requests:
+            return Stage.STOPPING
+        return Stage.DRAINING if self._draining.is_set() else Stage.SERVING
+
     def _limits(self) -> TrafficLimits:
         table = self.fleet.table
         return table.limits if table else TrafficLimits()
@@ -202,11 +207,11 @@
     async def _drain(self) -> None:
         """Wait until nothing is in flight, or until time is nearly over."""
         self.peers.say_leaving()
-        began_at = trio.current_time()
-        last_at = began_at + self.env.settings.grace_s - GRACE_MARGIN_S
-        while (now := trio.current_time()) < last_at:
-            busy = any(not connection.is_idle for connection in self._connections)
-            if not busy and now >= began_at + STOP_LISTENING_S:
+        last_at = trio.current_time() + self.env.settings.grace_s - GRACE_MARGIN_S
+        await trio.sleep(STOP_TAKING_S)
+        self._takes_requests = False
+        while trio.current_time() < last_at:
+            if all(connection.is_idle for connection in self._connections):
                 return
             await trio.sleep(POLL_S)
 
--- a/src/foxtailsaddle/forward/_connection.py
+++ b/src/foxtailsaddle/forward/_connection.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import typing as t
+from enum import Enum
 
 import h11
 import trio
@@ -14,6 +15,7 @@
     DeadlineExceededError,
     FoxtailsaddleError,
     HeadersTooLargeError,
+    NotReadyError,
     RequestInvalidError,
 )
 from ..ports import Headers, Wire
@@ -27,10 +29,23 @@
 MAX_EARLY_BYTES = 262_144  # of further requests, read while one is answered
 HEADERS_TOO_LARGE = 431
 EXPIRY_SLACK_S = 0.05
+STOP_RETRY_S = 0.05  # another instance can serve it at once
 REQUEST_LINE_BYTES = len("  HTTP/1.1\r\n")
 HEADER_LINE_BYTES = len(": \r\n")
 
 
+class Stage(Enum):
+    """Where an instance is in its life.
+
+    ``DRAINING`` serves what still arrives and asks clients to go elsewhere;
+    ``STOPPING`` refuses it, since there is no time left to finish it.
+    """
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    STOPPING = "stopping"
+
+
 class Answer:
     """The answer to the request that a connection is serving."""
 
@@ -74,7 +89,7 @@
     """Serves the requests of one connection, one after the other.
 
     :param limits: bounds on what the client sends.
-    :param is_leaving: whether this instance is about to stop.
+    :param stage: where this instance is in its life.
     """
 
     def __init__(
@@ -83,14 +98,14 @@
         admission: Admission,
         wire: Wire,
         limits: t.Callable[[], TrafficLimits],
-        is_leaving: t.Callable[[], bool],
+        stage: t.Callable[[], Stage],
         note_end: t.Callable[[str, int, float], None],
     ) -> None:
         self._sock = sock
         self._admission = admission
         self._wire = wire
         self._limits = limits
-        self._is_leaving = is_leaving
+        self._stage = stage
         self._note_end = note_end
         self._http = h11.Connection(h11.SERVER, limits().header_bytes)
         self._arrived_at = 0.0
@@ -177,12 +192,15 @@
             self._http.receive_data(data)
 
     async def _answer(self, request: h11.Request, body: bytes) -> None:
-        answer = Answer(self._http, self._sock, self._is_leaving())
+        stage = self._stage()
+        answer = Answer(self._http, self._sock, stage is not Stage.SERVING)
         headers = list(request.headers)
         caller = self._wire.read_request(headers)
         call: Call | None = None
         outcome = "answered"
         try:
+            if stage is Stage.STOPPING:
+                raise NotReadyError("this instance stops", retry_after_s=STOP_RETRY_S)
             call = self._admission.admit(
                 caller,
                 request.method.decode("ascii"),
--- a/src/foxtailsaddle/forward/_followers.py
+++ b/src/foxtailsaddle/forward/_followers.py
@@ -1,37 +1,49 @@
 """Follows the configuration and the list of endpoints in the store."""
 
 import logging
+import random
 import typing as t
 
 import trio
 
-from ..core import InstanceId
+from ..core import (
+    EndpointId,
+    InstanceId,
+    retry_pause_s,
+    should_read,
+)
 from ..errors import FoxtailsaddleError, HistoryGoneError, SettingsError
-from ..ports import Schema, Store, StoredRows
+from ..ports import Schema, Store, StoredRow, StoredRows
 from ._exchange import KeptCaller
 from ._fleet import Fleet
-from ._notes import decode_snapshot
-from ._peers import Peers
+from ._notes import Listed, decode_snapshot
+from ._peers import Peer, Peers
 
 logger = logging.getLogger("foxtailsaddle.store")
 
-FEED_WAIT_S = 2.2
+FEED_WAIT_S = 2.0
 RETRY_PAUSE_S = 0.25
 MAX_RETRY_PAUSE_S = 1.0
+RETRY_GROWTH = 1.5
+ROLE_CHECK_S = 0.1
 MIN_FEED_PAUSE_S = 0.1
 LIST_FEED_PAUSE_S = 0.4
 EXPIRE_EVERY_S = 0.25
-PEER_CHECK_S = 0.3
+BEHIND_S = 0.3  # a change that was told should have arrived by then
+CATCH_UP_JITTER_S = 0.05
 SNAPSHOT_TIMEOUT_S = 1.0
+SNAPSHOT_EVERY_S = 0.7
 SNAPSHOT_PATH = "/snapshot"
-LEASE_RENEW_S = 12.0
-LEASE_MS = 40_000
+LEASE_RENEW_S = 30.0
+LEASE_MS = 100_000
 
 
 class TableFollower:
     """Reads a table, then follows its feed; reads anew when changes were missed.
 
     :param pause_s: shortest time between two calls, since each call is priced.
+    :param may_rest: whether other instances follow the store for this one.
+    :param retry_s: turns a pause after a failure into this instance's own.
     """
 
     def __init__(
@@ -40,46 +52,62 @@
         table: str,
         pause_s: float,
         take: t.Callable[[StoredRows, bool], None],
+        may_rest: t.Callable[[], bool],
+        retry_s: t.Callable[[float], float],
         note_back: t.Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._table = table
         self._pause_s = pause_s
         self._take = take
+        self._may_rest = may_rest
+        self._retry_s = retry_s
         self._note_back = note_back
+        self._failure_pause_s = RETRY_PAUSE_S
+        self._catch_up = False
         self.is_away = True
-        self._version: int | None = None
-        self._retry_s = RETRY_PAUSE_S
+        self.version: int | None = None
+
+    def read_once(self) -> None:
+        """Ask the store once although others follow it: a change was missed."""
+        self._catch_up = True
+
+    def read_anew(self) -> None:
+        """Read the whole table at the next call."""
+        self.version = None
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
+            rests = self.version is not None and self._may_rest()
+            if rests and not self._catch_up:
+                await trio.sleep(ROLE_CHECK_S)
+                continue
+            self._catch_up = False
             try:
-                await self._step()
+                await self._step(0.0 if rests else FEED_WAIT_S)
             except HistoryGoneError as error:
                 logger.info(
                     "store: reads anew",
                     extra={"table": self._table, "why": error.message},
                 )
-                self._version = None
+                self.version = None
             except FoxtailsaddleError as error:
                 await self._lost(error)
 
-    async def _step(self) -> None:
-        if self._version is None:
+    async def _step(self, wait_s: float) -> None:
+        whole = self.version is None
+        if whole:
             rows = await self._store.read(self._table)
-            whole = True
         else:
-            rows = await self._store.changes(self._table, self._version, FEED_WAIT_S)
-            whole = False
+            rows = await self._store.changes(self._table, self.version, wait_s)
         self._regained()
-        self._version = rows.version
-        if rows.rows or whole:
-            self._take(rows, whole)
+        self.version = rows.version
+        self._take(rows, whole)
         await trio.sleep(self._pause_s if rows.rows else 0)
 
     def _regained(self) -> None:
-        self._retry_s = RETRY_PAUSE_S
+        self._failure_pause_s = RETRY_PAUSE_S
         if self.is_away:
             self.is_away = False
             self._note_back()
@@ -91,14 +119,17 @@
                 "store: lost", extra={"table": self._table, "why": error.message}
             )
         self.is_away = True
-        await trio.sleep(self._retry_s)
-        self._retry_s = min(MAX_RETRY_PAUSE_S, self._retry_s * 1.5)
+        await trio.sleep(self._retry_s(self._failure_pause_s))
+        self._failure_pause_s = min(
+            MAX_RETRY_PAUSE_S, self._failure_pause_s * RETRY_GROWTH
+        )
 
 
 class Followers:
     """Keeps the fleet's configuration and list current.
 
-    While the store does not answer, both are taken from another instance.
+    A few instances follow the store and tell the others what changes. While
+    the store answers nobody here, both are taken from another instance.
     """
 
     def __init__(
@@ -114,20 +145,22 @@
         self._schema = schema
         self._new_store = new_store
         self._host = host
-        self.configuration = TableFollower(
-            new_store(),
+        self._was_lost = False
+        self._behind_since: float | None = None
+        self._hint = trio.Event()
+        self.configuration = self._follower(
             schema.configuration_table,
             MIN_FEED_PAUSE_S,
             self._take_configuration_rows,
         )
-        self.list = TableFollower(
-            new_store(),
+        self.list = self._follower(
             schema.endpoint_table,
             LIST_FEED_PAUSE_S,
             self._take_list_rows,
             self._note_store_back,
         )
-        self._was_lost = False
+        peers.take_listed = self._take_listed
+        peers.heard = self._note_heard
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -135,8 +168,36 @@
             nursery.start_soon(self.configuration.run)
             nursery.start_soon(self.list.run)
             nursery.start_soon(self._register)
-            nursery.start_soon(self._expire)
-            nursery.start_soon(self._follow_peers)
+            nursery.start_soon(self._keep_house)
+            nursery.start_soon(self._catch_up_configuration)
+            nursery.start_soon(self._borrow_list)
+
+    def _follower(
+        self,
+        table: str,
+        pause_s: float,
+        take: t.Callable[[StoredRows, bool], None],
+        note_back: t.Callable[[], None] = lambda: None,
+    ) -> TableFollower:
+        return TableFollower(
+            self._new_store(),
+            table,
+            pause_s,
+            take,
+            self._may_rest,
+            self._own_retry_s,
+            note_back,
+        )
+
+    def _may_rest(self) -> bool:
+        readers = [peer.id for peer in self._peers.readers()]
+        return not should_read(self._fleet.instance, readers)
+
+    def _own_retry_s(self, pause_s: float) -> float:
+        others = [peer.id for peer in self._peers.live()]
+        return retry_pause_s(self._fleet.instance, others, pause_s)
+
+    # The configuration.
 
     def _take_configuration_rows(self, rows: StoredRows, whole: bool) -> None:
         for row in rows.rows:
@@ -154,43 +215,98 @@
             return
         self._fleet.table = table
         self._fleet.configuration_row = value
+        if self._peers.reads:
+            self._peers.announce()
         logger.info(
             "settings: in force", extra={"version": table.version, "from": source}
         )
 
+    def _note_heard(self, peer: Peer) -> None:
+        table = self._fleet.table
+        if peer.configuration > (table.version if table else 0):
+            self._hint.set()
+        is_ahead = peer.reads and peer.list_version > self._peers.list_version
+        if is_ahead and self._behind_since is None:
+            self._behind_since = trio.current_time()
+
+    async def _catch_up_configuration(self) -> None:
+        """Read the configuration when another instance has a later one."""
+        while True:
+            await self._hint.wait()
+            self._hint = trio.Event()
+            await trio.sleep(random.uniform(0, CATCH_UP_JITTER_S))
+            ahead = self._ahead()
+            if not ahead:
+                continue
+            if not self.configuration.is_away:
+                self.configuration.read_once()
+                await trio.sleep(BEHIND_S)
+            if ahead := self._ahead():
+                await self._fetch(random.choice(ahead).control, with_list=False)
+
+    def _ahead(self) -> list[Peer]:
+        table = self._fleet.table
+        version = table.version if table else 0
+        return [
+            peer
+            for peer in self._peers.live()
+            if peer.control and peer.configuration > version
+        ]
+
+    # The list of endpoints.
+
     def _note_store_back(self) -> None:
         if self._was_lost:
             self._fleet.endpoints.note_store_back(trio.current_time())
         self._was_lost = True
 
     def _take_list_rows(self, rows: StoredRows, whole: bool) -> None:
-        now = trio.current_time()
         if whole:
-            entries = {row.key: row.value for row in rows.rows}
-            self._replace_list(entries)
+            self._replace_list({row.key: row.value for row in rows.rows})
+        for row in () if whole else rows.rows:
+            if self._peers.reads and row.version > self._peers.list_version:
+                self._peers.listed(Listed(self._peers.list_version, row))
+            self._take_list_row(row)
+        known = [row.version for row in rows.rows]
+        # What others know of that the store had by now, this instance has too.
+        told = [peer.list_version for peer in self._peers.readers()]
+        known += [version for version in told if version <= rows.version]
+        self._peers.list_version = max([self._peers.list_version, *known])
+        self._behind_since = None
+
+    def _take_listed(self, note: Listed) -> None:
+        """Take a change that a reader told, if none before it was missed."""
+        if note.row.version <= self._peers.list_version:
             return
-        for row in rows.rows:
-            entry = None
-            if row.removed:
-                self._fleet.entries.pop(row.key, None)
-            else:
-                self._fleet.entries[row.key] = row.value
-                entry = self._schema.endpoint(row.key, row.value)
-            before = self._fleet.endpoints.get(t.cast(t.Any, row.key))
-            if entry is None:
-                self._fleet.endpoints.remove(t.cast(t.Any, row.key), now)
-            else:
-                self._fleet.endpoints.put(entry)
-            if before is None or entry is None or before.state is not entry.state:
-                logger.info(
-                    "list: changed",
-                    extra={
-                        "endpoint": row.key,
-                        "state": entry.state.value if entry else "gone",
-                        "version": row.version,
-                    },
-                )
+        if note.after > self._peers.list_version or self.list.version is None:
+            return
+        self._take_list_row(note.row)
+        self._peers.list_version = note.row.version
+        self.list.version = max(self.list.version, note.row.version)
 
+    def _take_list_row(self, row: StoredRow) -> None:
+        now = trio.current_time()
+        endpoint = EndpointId(row.key)
+        entry = None
+        if row.removed:
+            self._fleet.entries.pop(row.key, None)
+        else:
+            self._fleet.entries[row.key] = row.value
+            entry = self._schema.endpoint(row.key, row.value)
+        before = self._fleet.endpoints.get(endpoint)
+        if entry is None:
+            self._fleet.endpoints.remove(endpoint, now)
+        else:
+            self._fleet.endpoints.put(entry)
+        if before is None or entry is None or before.state is not entry.state:
+            logger.info(
+                "list: changed",
+                extra={
+                    "endpoint": endpoint,
+                    "state": entry.state.value if entry else "gone",
+                    "version": row.version,
+                },
+            )
         self._drop_gone(now)
 
     def _replace_list(self, values: dict[str, bytes]) -> None:
@@ -201,17 +317,53 @@
         self._drop_gone(trio.current_time())
         logger.info("list: read", extra={"endpoints": len(entries)})
 
-    async def _expire(self) -> None:
-        while True:
-            await trio.sleep(EXPIRE_EVERY_S)
-            self._drop_gone(trio.current_time())
-
     def _drop_gone(self, now: float) -> None:
         for endpoint in self._fleet.endpoints.expire(now):
             self._fleet.books.forget(endpoint, now)
             self._fleet.health.forget(endpoint)
             logger.info("list: gone", extra={"endpoint": endpoint})
 
+    # Housekeeping.
+
+    async def _keep_house(self) -> None:
+        while True:
+            await trio.sleep(EXPIRE_EVERY_S)
+            now = trio.current_time()
+            self._drop_gone(now)
+            is_away = self.list.is_away or self.configuration.is_away
+            self._peers.reads = not (is_away or self._may_rest())
+            if self._behind_since is None:
+                continue
+            if now - self._behind_since > BEHIND_S:
+                self._behind_since = None
+                self.list.read_once()
+
+    async def _borrow_list(self) -> None:
+        """Take the list of an instance that reaches the store."""
+        while True:
+            await trio.sleep(SNAPSHOT_EVERY_S)
+            readers = [peer for peer in self._peers.readers() if peer.control]
+            if self.list.is_away and readers:
+                await self._fetch(random.choice(readers).control, with_list=True)
+
+    async def _fetch(self, control: str, with_list: bool) -> None:
+        caller = KeptCaller(control)
+        try:
+            reply = await caller.call("GET", SNAPSHOT_PATH, None, SNAPSHOT_TIMEOUT_S)
+            snapshot = decode_snapshot(reply.body)
+        except (FoxtailsaddleError, ValueError) as error:
+            logger.info(
+                "peers: no snapshot", extra={"peer": control, "why": str(error)}
+            )
+            return
+        finally:
+            await caller.aclose()
+        if snapshot.configuration_row:
+            self._take_configuration(snapshot.configuration_row, control)
+        if with_list and self.list.is_away and snapshot.entries:
+            self._replace_list(snapshot.entries)
+            self.list.read_anew()
+
     async def _register(self) -> None:
         """Keep this instance's row in the store, and learn of the others'."""
         store = self._new_store()
@@ -229,7 +381,7 @@
                     is_new = False
             except FoxtailsaddleError as error:
                 logger.info("store: not registered", extra={"why": error.message})
-                await trio.sleep(MAX_RETRY_PAUSE_S)
+                await trio.sleep(self._own_retry_s(MAX_RETRY_PAUSE_S))
                 continue
             await trio.sleep(LEASE_RENEW_S)
 
@@ -242,34 +394,3 @@
             else:
                 self._peers.learn(InstanceId(row.key), host)
         return [key for key in stale if key != self._fleet.instance]
-
-    async def _follow_peers(self) -> None:
-        """Take what another instance has and this one lacks."""
-        while True:
-            await trio.sleep(PEER_CHECK_S)
-            table = self._fleet.table
-            version = table.version if table else 0
-            peers = [peer for peer in self._peers.live() if peer.control]
-            ahead = [peer for peer in peers if peer.configuration > version]
-            if ahead:
-                await self._fetch(ahead[0].control, with_list=self.list.is_away)
-            elif self.list.is_away and peers:
-                await self._fetch(peers[0].control, with_list=True)
-                await trio.sleep(1 - PEER_CHECK_S)
-
-    async def _fetch(self, control: str, with_list: bool) -> None:
-        caller = KeptCaller(control)
-        try:
-            reply = await caller.call("GET", SNAPSHOT_PATH, None, SNAPSHOT_TIMEOUT_S)
-            snapshot = decode_snapshot(reply.body)
-        except (FoxtailsaddleError, ValueError) as error:
-            logger.info(
-                "peers: no snapshot", extra={"peer": control, "why": str(error)}
-            )
-            return
-        finally:
-            await caller.aclose()
-        if snapshot.configuration_row:
-            self._take_configuration(snapshot.configuration_row, control)
-        if with_list and self.list.is_away and snapshot.entries:
-            self._replace_list(snapshot.entries)
--- a/src/foxtailsaddle/forward/_notes.py
+++ b/src/foxtailsaddle/forward/_notes.py
@@ -6,7 +6,8 @@
 
 import capnp
 
-from ..core import AttemptOutcome, DataCentre, EndpointId, InstanceId, Job, JobId
+from ..core import AttemptOutcome, EndpointId, InstanceId, Job, JobId
+from ..ports import StoredRow
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("notes.capnp")))
 
@@ -51,7 +52,19 @@
     death: str
 
 
-Note = Placed | Began | Ended | Paced | Died
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listed:
+    """An entry of the list of endpoints has changed.
+
+    :param after: version of the change before this one.
+    :param row: the entry as it lies in the store.
+    """
+
+    after: int
+    row: StoredRow
+
+
+Note = Placed | Began | Ended | Paced | Died | Listed
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,17 +72,21 @@
     """What every datagram says of its sender.
 
     :param incarnation: wall-clock start in milliseconds; a later run is higher.
-    :param control: address that hands out a snapshot, empty without one.
+    :param control: address that hands out a snapshot; empty without one, and
+        in datagrams that carry notes.
     :param configuration: version in force, 0 before the first one.
+    :param reads: the sender follows the store, and tells what changes there.
+    :param list_version: version of the last change of the list that it knows.
     :param wants_reply: the sender is new and asks to be greeted.
     """
 
     sender: InstanceId
     incarnation: int
-    data_centre: DataCentre
     control: str
     configuration: int
     leaving: bool
+    reads: bool = False
+    list_version: int = 0
     wants_reply: bool = False
 
 
@@ -86,10 +103,11 @@
     builder = _SCHEMA.Datagram.new_message()
     builder.sender = greeting.sender
     builder.incarnation = greeting.incarnation
-    builder.dataCentre = greeting.data_centre
     builder.control = greeting.control
     builder.configuration = greeting.configuration
     builder.leaving = greeting.leaving
+    builder.reads = greeting.reads
+    builder.listVersion = greeting.list_version
     builder.greeting = greeting.wants_reply
     items = builder.init("notes", len(notes))
     for index, note in enumerate(notes):
@@ -108,10 +126,11 @@
         greeting = Greeting(
             sender=sender,
             incarnation=reader.incarnation,
-            data_centre=DataCentre(reader.dataCentre),
             control=reader.control,
             configuration=reader.configuration,
             leaving=reader.leaving,
+            reads=reader.reads,
+            list_version=reader.listVersion,
             wants_reply=reader.greeting,
         )
         notes = [_READERS[str(item.which())](sender, item) for item in reader.notes]
@@ -220,12 +239,28 @@
     return Died(item.death.fingerprint, item.death.death)
 
 
+def _write_listed(item: t.Any, note: Listed) -> None:
+    builder = item.init("listed")
+    builder.after = note.after
+    builder.version = note.row.version
+    builder.key = note.row.key
+    builder.value = note.row.value
+    builder.removed = note.row.removed
+
+
+def _read_listed(_: InstanceId, item: t.Any) -> Listed:
+    reader = item.listed
+    row = StoredRow(reader.key, bytes(reader.value), reader.version, reader.removed)
+    return Listed(reader.after, row)
+
+
 _WRITERS: dict[type, t.Callable[[t.Any, t.Any], None]] = {
     Placed: _write_placed,
     Began: _write_began,
     Ended: _write_ended,
     Paced: _write_paced,
     Died: _write_died,
+    Listed: _write_listed,
 }
 _READERS: dict[str, t.Callable[[InstanceId, t.Any], Note]] = {
     "placed": _read_placed,
@@ -233,4 +268,5 @@
     "ended": _read_ended,
     "pace": _read_paced,
     "death": _read_died,
+    "listed": _read_listed,
 }
--- a/src/foxtailsaddle/forward/_peers.py
+++ b/src/foxtailsaddle/forward/_peers.py
@@ -8,13 +8,14 @@
 
 import trio
 
-from ..core import AttemptOutcome, DataCentre, EndpointId, InstanceId, Job, JobId
+from ..core import AttemptOutcome, EndpointId, InstanceId, Job, JobId
 from ._fleet import Fleet
 from ._notes import (
     Began,
     Died,
     Ended,
     Greeting,
+    Listed,
     Note,
     Paced,
     Placed,
@@ -25,7 +26,10 @@
 logger = logging.getLogger("foxtailsaddle.peers")
 
 HEARTBEAT_S = 1.0
-SILENT_S = 3.5
+READER_HEARTBEAT_S = 0.5
+READER_SILENT_S = 1.7
+PEERS_PER_HEARTBEAT_S = 30.0  # a larger fleet's heartbeats are rarer
+SILENT_HEARTBEATS = 3.5
 FORGET_S = 30.0
 NOTES_PER_DATAGRAM = 12
 MAX_PENDING_NOTES = 2000
@@ -44,10 +48,11 @@
     address: tuple[str, int]
     heard_at: float = 0.0
     incarnation: int = 0
-    data_centre: DataCentre = DataCentre("")
     control: str = ""
     configuration: int = 0
     leaving: bool = False
+    reads: bool = False
+    list_version: int = 0
     known_at: float = 0.0
 
 
@@ -57,11 +62,8 @@
     :param control: this instance's address for snapshots.
     """
 
-    def __init__(
-        self, fleet: Fleet, data_centre: DataCentre, control: str, host: str, port: int
-    ) -> None:
+    def __init__(self, fleet: Fleet, control: str, host: str, port: int) -> None:
         self._fleet = fleet
-        self._data_centre = data_centre
         self._control = control
         self._address = (host, port)
         self._incarnation = time.time_ns() // 1_000_000
@@ -70,7 +72,12 @@
         self._pending: collections.deque[Note] = collections.deque()
         self._wake = trio.Event()
         self._sock: trio.socket.SocketType | None = None
+        self._told_at = 0.0
         self.leaving = False
+        self.reads = False
+        self.list_version = 0
+        self.take_listed: t.Callable[[Listed], None] = lambda _: None
+        self.heard: t.Callable[[Peer], None] = lambda _: None
 
     @property
     def port(self) -> int:
@@ -83,9 +90,26 @@
         return [
             peer
             for peer in self._by_id.values()
-            if peer.heard_at and now - peer.heard_at <= SILENT_S
+            if peer.heard_at and now - peer.heard_at <= self._silent_s
+        ]
+
+    def readers(self) -> list[Peer]:
+        """Return the other instances that follow the store at present."""
+        now = trio.current_time()
+        return [
+            peer
+            for peer in self._by_id.values()
+            if peer.reads and now - peer.heard_at <= READER_SILENT_S
         ]
 
+    @property
+    def _heartbeat_s(self) -> float:
+        return max(HEARTBEAT_S, len(self._by_id) / PEERS_PER_HEARTBEAT_S)
+
+    @property
+    def _silent_s(self) -> float:
+        return SILENT_HEARTBEATS * self._heartbeat_s
+
     def count(self) -> int:
         """Return how many instances live, this one included."""
         return 1 + len(self.live())
@@ -135,6 +159,14 @@
         """An endpoint died while it ran a request."""
         self._tell(Died(fingerprint, death))
 
+    def listed(self, note: Listed) -> None:
+        """An entry of the list has changed in the store."""
+        self._tell(note)
+
+    def announce(self) -> None:
+        """Tell all others at once what this instance knows."""
+        self._broadcast([])
+
     def say_leaving(self) -> None:
         """Tell all others that this instance is about to stop."""
         self.leaving = True
@@ -157,9 +189,11 @@
         for address in self._seed_addresses:
             self._send(address, [], wants_reply=True)
         while True:
-            await trio.sleep(HEARTBEAT_S)
-            self._broadcast([])
+            await trio.sleep(READER_HEARTBEAT_S)
             now = trio.current_time()
+            every_s = READER_HEARTBEAT_S if self.reads else self._heartbeat_s
+            if now - self._told_at >= every_s:
+                self._broadcast([])
             self._fleet.books.expire(now)
             for peer in list(self._by_id.values()):
                 self._check(peer, now)
@@ -174,12 +208,17 @@
             logger.info("peers: forgotten", extra={"peer": peer.id})
 
     def _is_live(self, peer: Peer) -> bool:
-        return bool(peer.heard_at) and trio.current_time() - peer.heard_at <= SILENT_S
+        silent_s = trio.current_time() - peer.heard_at
+        return bool(peer.heard_at) and silent_s <= self._silent_s
 
     def _broadcast(self, notes: t.Sequence[Note]) -> None:
         if not self._by_id:
             return
-        data = encode(self._greeting(False), notes)
+        self._told_at = trio.current_time()
+        greeting = self._greeting(False)
+        if notes:
+            greeting = dataclasses.replace(greeting, control="")
+        data = encode(greeting, notes)
         for peer in self._by_id.values():
             if not notes or self._is_live(peer):
                 self._send_bytes(peer.address, data)
@@ -202,10 +241,11 @@
         return Greeting(
             sender=self._fleet.instance,
             incarnation=self._incarnation,
-            data_centre=self._data_centre,
             control=self._control,
             configuration=table.version if table else 0,
             leaving=self.leaving,
+            reads=self.reads,
+            list_version=self.list_version,
             wants_reply=wants_reply,
         )
 
@@ -236,10 +276,12 @@
         peer.address = address
         peer.heard_at = now
         peer.incarnation = greeting.incarnation
-        peer.data_centre = greeting.data_centre
-        peer.control = greeting.control
+        peer.control = greeting.control or peer.control
         peer.configuration = greeting.configuration
         peer.leaving = greeting.leaving
+        peer.reads = greeting.reads
+        peer.list_version = greeting.list_version
+        self.heard(peer)
         if is_new:
             logger.info("peers: heard", extra={"peer": peer.id})
             self._send_own_jobs(address)
@@ -274,5 +316,7 @@
                 fleet.health.note(note.endpoint, note.outcome, now)
             case Paced():
                 fleet.health.note_pace(note.endpoint, note.pace, now)
+            case Listed():
+                self.take_listed(note)
             case Died():
                 fleet.crashes.note_death(note.fingerprint, note.death, now)
--- a/src/foxtailsaddle/forward/_streams.py
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -5,10 +5,12 @@
 
 import h11
 import trio
+import xxhash
 
 from ..core import (
     AttemptOutcome,
     DataCentre,
+    EndpointId,
     EngineCandidate,
     EngineTime,
     Job,
@@ -37,6 +39,7 @@
 WEIGHT_UNIT = 14_000
 RETRY_AFTER_S = 0.5
 SERVER_ERROR = 500
+SPREAD_UNIT = 1 << 32
 OK = 200
 
 PATIENCE_S = 2.0  # clients leave a stream after the longest of these silences
@@ -174,7 +177,13 @@
             for entry in good or untried or usable
         ]
         demand = _demand(call, now)
-        return place_stream(demand, candidates, EngineTime(spec), self._data_centre)
+        time = EngineTime(spec)
+        return place_stream(demand, candidates, time, self._data_centre, self._spread)
+
+    def _spread(self, endpoint: EndpointId) -> float:
+        """Return this instance's own order of engines, from 0 to 1."""
+        key = f"{self._fleet.instance}\0{endpoint}".encode()
+        return xxhash.xxh32_intdigest(key) / SPREAD_UNIT
 
     def _job(self, call: Call, plan: StreamPlan) -> Job:
         prompt = call.request.prompt or PromptSize(0, 0)
--- a/src/foxtailsaddle/forward/notes.capnp
+++ b/src/foxtailsaddle/forward/notes.capnp
@@ -5,12 +5,13 @@
 struct Datagram {
   sender @0 :Text;
   incarnation @1 :UInt64;
-  dataCentre @2 :Text;
-  control @3 :Text;
-  configuration @4 :UInt64;
-  leaving @5 :Bool;
-  greeting @6 :Bool;
-  notes @7 :List(Note);
+  control @2 :Text;
+  configuration @3 :UInt64;
+  leaving @4 :Bool;
+  greeting @5 :Bool;
+  notes @6 :List(Note);
+  reads @7 :Bool;
+  listVersion @8 :UInt64;
 }
 
 struct Note {
@@ -20,6 +21,7 @@
     ended @2 :Ended;
     pace @3 :Pace;
     death @4 :Death;
+    listed @5 :Listed;
   }
 }
 
@@ -52,6 +54,14 @@
   pace @1 :Float32;
 }
 
+struct Listed {
+  after @0 :UInt64;
+  version @1 :UInt64;
+  key @2 :Text;
+  value @3 :Data;
+  removed @4 :Bool;
+}
+
 struct Death {
   fingerprint @0 :Text;
   death @1 :Text;
--- /dev/null
+++ b/standins/front_process.py
@@ -0,0 +1,87 @@
+"""The users' store and a runner as processes, with calls for tests to steer them."""
+
+import dataclasses
+import json
+import typing as t
+
+import fire
+import trio
+
+from .rows import Rows
+from .runner import Fault, Runner
+from .wire import WireConnection, WireRequest, WireServer
+
+
+class SteeredRows:
+    """The store, and ``PUT /put``, ``/drop``, ``/knobs`` and ``/forget``."""
+
+    def __init__(self) -> None:
+        self.rows = Rows()
+
+    async def handle(self, connection: WireConnection, request: WireRequest) -> bool:
+        """Answer one call."""
+        if request.method != "PUT":
+            return await self.rows.handle(connection, request)
+        fields = request.json()
+        if request.path == "/put":
+            self.rows.put(fields["table"], fields["key"], fields["value"])
+        elif request.path == "/drop":
+            self.rows.drop(fields["table"], fields["key"])
+        elif request.path == "/knobs":
+            self.rows.knobs = dataclasses.replace(self.rows.knobs, **fields)
+        elif request.path == "/forget":
+            self.rows.forget_history()
+        return await connection.answer(200, b"{}")
+
+
+class SteeredRunner:
+    """A runner, ``GET /book`` with what reached it, and ``PUT /fault``."""
+
+    def __init__(self, runner: Runner) -> None:
+        self.runner = runner
+
+    async def handle(self, connection: WireConnection, request: WireRequest) -> bool:
+        """Answer one call."""
+        if request.path == "/book":
+            return await connection.answer(200, json.dumps(self._book()).encode())
+        if request.path == "/fault" and request.method == "PUT":
+            self.runner.faults = [Fault(name) for name in request.json()]
+            return await connection.answer(200, b"{}")
+        return await self.runner.handle(connection, request)
+
+    def _book(self) -> dict[str, t.Any]:
+        return {
+            "seen": [r.headers.get("x-request-id", "") for r in self.runner.seen],
+            "runs": [run.id for run in self.runner.runs],
+            "tickets": self.runner.held(),
+        }
+
+
+class Processes:
+    """Stand-ins of the users' platform."""
+
+    def store(self, host: str, port: int) -> None:
+        """Run the store."""
+        _serve(SteeredRows().handle, host, port)
+
+    def runner(self, id: str, service: str, host: str, port: int) -> None:
+        """Run a runner; the service ``model`` streams."""
+        streams = service == "model"
+        runner = Runner(
+            id, service, host=host, streams=streams, work_s=0.02, gap_s=0.03
+        )
+        _serve(SteeredRunner(runner).handle, host, port)
+
+
+def _serve(
+    handler: t.Callable[[WireConnection, WireRequest], t.Awaitable[bool]],
+    host: str,
+    port: int,
+) -> None:
+    server = WireServer(handler, host)
+    server.port = port
+    trio.run(server.run)
+
+
+if __name__ == "__main__":
+    fire.Fire(Processes)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -33,6 +33,14 @@
     EARLY = "early"  # answers before the body is read
 
 
+@dataclasses.dataclass
+class Ticket:
+    """Memory that is set aside until its lease ends."""
+
+    tokens: int
+    until: float
+
+
 @dataclasses.dataclass
 class Run:
     """A request that this runner began to run."""
@@ -81,7 +89,7 @@
         self.faults: list[Fault] = []
         self.seen: list[WireRequest] = []
         self.runs: list[Run] = []
-        self.tickets: dict[str, int] = {}
+        self.tickets: dict[str, Ticket] = {}
         self.orders: list[dict[str, t.Any]] = []
         self.free_tokens = 232_000
         self.pace = 1.0
@@ -100,6 +108,20 @@
             "sequence": 1,
         } | changes
 
+    def held(self) -> list[str]:
+        """Return the ids of the tickets whose lease has not ended."""
+        now = trio.current_time()
+        for id, ticket in list(self.tickets.items()):
+            if ticket.until <= now:
+                del self.tickets[id]
+        return list(self.tickets)
+
+    def room(self) -> int:
+        """Return the memory that is free, in tokens."""
+        self.held()
+        taken = sum(ticket.tokens for ticket in self.tickets.values())
+        return self.free_tokens - taken
+
     async def handle(self, connection: WireConnection, request: WireRequest) -> bool:
         """Answer one request."""
         if request.path == "/order":
@@ -203,14 +225,13 @@
         order = request.json()
         self.orders.append(order)
         if order["operation"] == "release":
-            self.free_tokens += self.tickets.pop(order["id"], 0)
+            self.tickets.pop(order["id"], None)
             return await connection.answer(200, b"{}")
-        if order["id"] not in self.tickets:
-            if order["tokens"] > self.free_tokens:
-                return await connection.answer(409, b"{}")
-            self.tickets[order["id"]] = order["tokens"]
-            self.free_tokens -= order["tokens"]
-        body = json.dumps({"free": self.free_tokens}).encode()
+        if order["id"] not in self.held() and order["tokens"] > self.room():
+            return await connection.answer(409, b"{}")
+        until = trio.current_time() + order["hold_ms"] / 1000
+        self.tickets[order["id"]] = Ticket(order["tokens"], until)
+        body = json.dumps({"free": self.room()}).encode()
         return await connection.answer(200, body)
 
 
--- a/tests/test_forward_requests.py
+++ b/tests/test_forward_requests.py
@@ -339,6 +339,47 @@
         assert (await world.ask(app, "/safe/x")).status == 200
 
 
+class TestReaders:
+    """A store whose calls are priced, and more instances than need to read it."""
+
+    @in_world(plain=1, engines=0, instances=6)
+    async def test_a_few_follow_the_store_for_all(self, world):
+        await eventually(
+            lambda: sum(app.peers.reads for app in world.apps) == 3, within_s=6.0
+        )
+        world.rows.calls.clear()
+        await trio.sleep(2.0)
+        assert world.rows.calls["/rows-feed"] <= 3 * 2 * 3
+
+    @in_world(plain=1, engines=0, instances=6)
+    async def test_a_change_reaches_all_at_once(self, world):
+        await eventually(
+            lambda: sum(app.peers.reads for app in world.apps) == 3, within_s=6.0
+        )
+        world.rows.put("servers", "p0", world.runners["p0"].entry(state="draining"))
+        await eventually(
+            lambda: not any(a.fleet.endpoints.usable("plain") for a in world.apps), 1.0
+        )
+        world.rows.put("op", "config", configuration(8))
+        await eventually(
+            lambda: all(app.fleet.table.version == 8 for app in world.apps), 1.0
+        )
+
+    @in_world(plain=1, engines=0, instances=5)
+    async def test_when_the_readers_die_others_take_their_place(self, world):
+        await eventually(
+            lambda: sum(app.peers.reads for app in world.apps) == 3, within_s=6.0
+        )
+        left = [app for app in world.apps if not app.peers.reads]
+        for app in world.apps:
+            if app.peers.reads:
+                world.kill(app)
+        world.rows.put("servers", "p0", world.runners["p0"].entry(state="draining"))
+        await eventually(
+            lambda: not any(app.fleet.endpoints.usable("plain") for app in left), 2.0
+        )
+
+
 class TestStopping:
     @in_world(plain=1)
     async def test_a_graceful_shutdown_cuts_no_request(self, world):
@@ -355,6 +396,19 @@
         assert late.status == 200
         assert late.headers["connection"] == "close"
 
+    @in_world(plain=1)
+    async def test_what_comes_too_late_to_be_finished_is_refused(self, world):
+        app = world.apps[0]
+        async with await world.open(app) as client, await world.open(app) as busy:
+            assert (await client.ask("/unsafe/x")).status == 200
+            world.runners["p0"].work_s = 3.5
+            await busy.stream.send_all(busy.bytes_of("/unsafe/x"))
+            app.drain()
+            await trio.sleep(2.9)
+            reply = await client.ask("/unsafe/x")
+            assert reply.status == 503
+            assert "retry-after" in reply.headers
+
 
 class TestKeptCaller:
     @in_world(plain=0, engines=0)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,235 @@
+"""The users' platform: what is decoded, and what is refused with its reason."""
+
+import json
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+from foxtailsaddle.core import EndpointState, RouteKind
+from foxtailsaddle.errors import SettingsError
+from foxtailsaddle.platform import (
+    PlatformSchema,
+    PlatformWire,
+    read_process_settings,
+)
+from foxtailsaddle.ports import Dispatch
+from standins.front_world import configuration
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SETTINGS = """
+node_name = "entry-1"
+zone = "dc-a"
+ip = "127.0.0.1"
+internal_port_range = [7340, 7355]
+seeds = ["127.0.0.2:8229"]
+a_field_of_tomorrow = { x = 1 }
+[listen]
+front = "127.0.0.1:8227"
+ready = "127.0.0.1:8220"
+control = "127.0.0.1:8229"
+[bounds]
+grace_period_s = 8
+drain_timeout_ms = 2000
+budget_slack = 100
+[platform]
+address = "127.0.0.9:8223"
+"""
+
+
+def write(tmp_path, text):
+    path = tmp_path / "local.toml"
+    path.write_text(text, encoding="utf-8")
+    return str(path)
+
+
+class TestSettingsFile:
+    def test_is_read_and_unknown_fields_are_ignored(self, tmp_path):
+        settings = read_process_settings(write(tmp_path, SETTINGS))
+        assert settings.instance == "entry-1"
+        assert settings.data_centre == "dc-a"
+        assert settings.peer_port == 7340
+        assert settings.bounds.drain_s == 2.0
+        assert settings.bounds.retry_ratio == 0.2
+
+    @pytest.mark.parametrize(
+        ("old", "new", "path"),
+        [
+            ('node_name = "entry-1"', "", "node_name"),
+            ('front = "127.0.0.1:8227"', "", "listen.front"),
+            ('front = "127.0.0.1:8227"', 'front = "here"', "listen.front"),
+            ("grace_period_s = 8", 'grace_period_s = "x"', "bounds.grace_period_s"),
+            ("grace_period_s = 8", "grace_period_s = -1", "bounds.grace_period_s"),
+            ("[7340, 7355]", '"7340"', "internal_port_range"),
+            ('seeds = ["127.0.0.2:8229"]', "seeds = [1]", "seeds"),
+            ('address = "127.0.0.9:8223"', "", "platform.address"),
+        ],
+    )
+    def test_what_is_missing_or_wrong_is_named(self, tmp_path, old, new, path):
+        with pytest.raises(SettingsError, match=path):
+            read_process_settings(write(tmp_path, SETTINGS.replace(old, new)))
+
+    def test_one_that_cannot_be_read_is_named(self, tmp_path):
+        with pytest.raises(SettingsError, match="can't be read"):
+            read_process_settings(str(tmp_path / "none.toml"))
+        with pytest.raises(SettingsError, match="can't be read"):
+            read_process_settings(write(tmp_path, "= broken"))
+
+    def test_the_command_exits_with_code_2(self, tmp_path):
+        path = write(tmp_path, SETTINGS.replace('zone = "dc-a"', ""))
+        run = subprocess.run(
+            [sys.executable, "-m", "foxtailsaddle", "check", path],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert run.returncode == 2
+        assert "settings_invalid" in run.stderr
+        assert "zone" in run.stderr
+
+    def test_the_command_says_what_a_good_file_holds(self, tmp_path):
+        run = subprocess.run(
+            [sys.executable, "-m", "foxtailsaddle", "check", write(tmp_path, SETTINGS)],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert run.returncode == 0
+        assert "entry-1" in run.stdout
+
+
+class TestConfiguration:
+    def test_is_decoded_into_routes(self):
+        table = PlatformSchema().configuration(json.dumps(configuration(3)).encode())
+        route = table.find("calls.example", "/stream/x/y")
+        assert table.version == 3
+        assert route.kind is RouteKind.STREAM
+        assert route.repeatable
+        assert route.aim_s == 0.3
+        assert table.service_by_id["model"].engine.kv_tokens == 232_000
+        assert table.service_by_id["plain"].engine is None
+        assert table.account_by_key["key-1"].id == "account-1"
+        assert table.limits.body_bytes == 100_000
+
+    def test_a_stream_that_may_not_be_resumed_is_not_repeated(self):
+        fields = configuration()
+        fields["routes"][0]["resumable"] = False
+        table = PlatformSchema().configuration(json.dumps(fields).encode())
+        assert not table.find("calls.example", "/stream/x").repeatable
+
+    @pytest.mark.parametrize("broken", [b"", b"[]", b"{}", b'{"version": "x"}'])
+    def test_what_cannot_be_read_is_refused(self, broken):
+        with pytest.raises(SettingsError):
+            PlatformSchema().configuration(broken)
+
+
+class TestEntries:
+    ENTRY = {
+        "service": "model",
+        "address": "10.0.0.1:8080",
+        "zone": "dc-a",
+        "slots": 8,
+        "state": "draining",
+        "born": 1700000000000,
+    }
+
+    def test_are_decoded(self):
+        value = json.dumps(self.ENTRY).encode()
+        entry = PlatformSchema().endpoint("i-1", value)
+        assert entry.state is EndpointState.DRAINING
+        assert entry.born_ms == 1700000000000
+
+    @pytest.mark.parametrize(
+        "change",
+        [{"slots": True}, {"slots": -1}, {"zone": ""}, {"address": "x:99999"}],
+    )
+    def test_of_another_writer_name_no_endpoint(self, change):
+        value = json.dumps(self.ENTRY | change).encode()
+        assert PlatformSchema().endpoint("i-1", value) is None
+
+
+class TestHeaders:
+    def test_a_request_is_decoded(self):
+        caller = PlatformWire().read_request(
+            [
+                (b"host", b"Calls.Example:80"),
+                (b"x-request-id", b"abc"),
+                (b"x-deadline-ms", b"2500"),
+                (b"authorization", b"token  k1"),
+                (b"x-token-usage", b"1460,80"),
+                (b"x-length-hint", b"70"),
+            ]
+        )
+        assert caller.host == "calls.example"
+        assert caller.deadline_s == 2.5
+        assert caller.key == "k1"
+        assert caller.prompt.likely_output == 70
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [
+            (b"x-deadline-ms", b"soon"),
+            (b"x-token-usage", b"many"),
+            (b"authorization", b"Bearer k1"),
+        ],
+    )
+    def test_nonsense_counts_as_absent(self, name, value):
+        caller = PlatformWire().read_request([(b"host", b"h"), (name, value)])
+        assert (caller.deadline_s, caller.key, caller.prompt) == (None, None, None)
+
+    def test_headers_of_one_connection_stay_behind(self):
+        headers = PlatformWire().endpoint_headers(
+            [(b"connection", b"close, x-mine"), (b"x-mine", b"1"), (b"x-kept", b"2")],
+            Dispatch("i-1", 1.5, None, priority=12),
+        )
+        names = dict(headers)
+        assert b"x-mine" not in names
+        assert names[b"x-kept"] == b"2"
+        assert names[b"x-deadline-ms"] == b"1500"
+        assert names[b"x-request-priority"] == b"9"
+
+    def test_the_adapter_states_what_an_endpoint_did_not_run(self):
+        wire = PlatformWire()
+        assert wire.read_answer(503, [(b"x-not-executed", b"1")]).refused
+        assert wire.read_answer(421, []).refused
+        assert not wire.read_answer(503, []).refused
+        assert not wire.read_answer(500, []).refused
+
+
+class TestFolder:
+    def test_nothing_outside_knows_the_platforms_names(self):
+        words = (
+            "X-Server-Seal",
+            "x-expect-instance",
+            "rows-feed",
+            "FOXTAILSADDLE_BOOT",
+        )
+        sources = (ROOT / "src" / "foxtailsaddle").rglob("*.py")
+        outside = [path for path in sources if "platform" not in path.parent.name]
+        leaks = [
+            path.name
+            for path in outside
+            if any(w.lower() in path.read_text("utf-8").lower() for w in words)
+        ]
+        assert leaks == []
+
+    def test_stays_small(self):
+        folder = ROOT / "src" / "foxtailsaddle" / "platform"
+        lines = sum(
+            len(path.read_text("utf-8").splitlines())
+            for path in folder.iterdir()
+            if path.suffix == ".py"
+        )
+        assert lines < 900
+
+    def test_an_instance_loads_only_what_it_runs(self):
+        heavy = ("opentelemetry", "hypercorn", "starlette", "pydantic", "httpcore")
+        code = (
+            "import sys, foxtailsaddle.cli._serve_platform; "
+            f"print([n for n in {heavy!r} if n in sys.modules])"
+        )
+        run = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True
+        )
+        assert run.stdout.strip() == "[]"
