--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 STAMP = $(VENV)/.installed
 SEED ?= 1
 MINUTES ?= 5
+SEEDS ?= 50
 
-.PHONY: test demo lint binary bench slopes fuzz docs docs-check clean
+.PHONY: test demo demo-platform soak lint binary bench slopes fuzz docs docs-check clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +23,12 @@
 demo: $(STAMP)
 	$(BIN)/python -m demo.demo
 
+demo-platform: $(STAMP)
+	$(BIN)/python -m demo.demo_platform
+
+soak: $(STAMP)
+	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS)
+
 binary: $(STAMP)
 	mkdir -p dist
 	$(BIN)/shiv -c foxtailsaddle -o dist/foxtailsaddle -p '/usr/bin/env python3' -- --quiet -c constraints.txt .
--- /dev/null
+++ b/demo/demo_platform.py
@@ -0,0 +1,66 @@
+"""The platform's front door on stand-ins: 3 instances, real prompts, a table."""
+
+import pathlib
+import tempfile
+import time
+
+import httpcore
+import trio
+
+from soak.fleet import SoakFleet
+from standins.front_world import HOST, KEY
+
+PROMPTS = (("short", 1_460), ("medium", 45_000), ("long", 133_000), ("huge", 500_000))
+PLAIN = ("/safe/record", "/unsafe/sign-off")
+ENGINES = 6
+
+
+async def main() -> None:
+    """Start the fleet, ask each instance for each prompt, print a table."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="foxtailsaddle-demo-"))
+    fleet = SoakFleet(folder, engines=ENGINES, plain=2, instances=3)
+    async with trio.open_nursery() as nursery:
+        try:
+            await fleet.start(nursery)
+            print(
+                f"{'instance':9} {'request':18} {'status':>6} {'first ms':>9} {'ms':>6}"
+            )
+            counter = 0
+            for name, (host, port) in fleet.fronts.items():
+                for path, tokens in _requests():
+                    counter += 1
+                    url = f"http://{host}:{port}{path}"
+                    line = await _ask(url, f"{counter:016x}", tokens)
+                    print(f"{name:9} {path:18} {line}")
+            print(f"logs: {folder}")
+        finally:
+            fleet.stop()
+            nursery.cancel_scope.cancel()
+
+
+def _requests() -> list[tuple[str, int]]:
+    streams = [(f"/stream/{name}", tokens) for name, tokens in PROMPTS]
+    return streams + [(path, 0) for path in PLAIN]
+
+
+async def _ask(url: str, id: str, tokens: int) -> str:
+    headers = {
+        "Host": HOST,
+        "X-Request-Id": id,
+        "X-Deadline-Ms": "10000",
+        "Authorization": f"Token {KEY}",
+    }
+    if tokens:
+        headers["X-Token-Usage"] = f"{tokens},700"
+    began = time.monotonic()
+    first_ms = 0.0
+    async with httpcore.AsyncConnectionPool() as pool:
+        async with pool.stream("POST", url, headers=headers, content=b"{}") as answer:
+            async for _ in answer.aiter_stream():
+                first_ms = first_ms or (time.monotonic() - began) * 1000
+    took_ms = (time.monotonic() - began) * 1000
+    return f"{answer.status:>6} {first_ms:>9.0f} {took_ms:>6.0f}"
+
+
+if __name__ == "__main__":
+    trio.run(main)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -18,6 +19,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 START_S = 15.0
+BASE = f"127.{10 + os.getpid() % 200}"  # so that fleets side by side don't meet
 SETTINGS = """
 node_name = "{name}"
 zone = "a"
@@ -79,8 +81,8 @@
         self._engines = engines
         self._plain = plain
         self._instances = instances
-        self.store_port = _free_port("127.0.2.1")
-        self.store_address = f"127.0.2.1:{self.store_port}"
+        self.store_port = _free_port(f"{BASE}.2.1")
+        self.store_address = f"{BASE}.2.1:{self.store_port}"
         self.runner_services: dict[str, str] = {}
         self.runner_ports: dict[str, int] = {}
         self.links: dict[str, Link] = {}
@@ -90,19 +92,19 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start everything and wait until all instances are ready."""
-        self._add("store", "store", "--host=127.0.2.1", f"--port={self.store_port}")
-        await self._until_listening("127.0.2.1", self.store_port)
+        self._add("store", "store", f"--host={BASE}.2.1", f"--port={self.store_port}")
+        await self._until_listening(f"{BASE}.2.1", self.store_port)
         await self.steer_store("/put", table="op", key="config", value=configuration())
         names = [f"e{number}" for number in range(self._engines)]
         names += [f"p{number}" for number in range(self._plain)]
         for name in names:
             await self._start_runner(name, nursery)
-        store_link = Link(("127.0.2.1", self.store_port), "127.0.2.2")
+        store_link = Link((f"{BASE}.2.1", self.store_port), f"{BASE}.2.2")
         await nursery.start(store_link.run)
         self.links["store"] = store_link
-        peer_port = _free_port("127.0.3.1", socket.SOCK_DGRAM)
+        peer_port = _free_port(f"{BASE}.3.1", socket.SOCK_DGRAM)
         for number in range(1, self._instances + 1):
-            self._start_instance(f"i{number}", f"127.0.3.{number}", peer_port)
+            self._start_instance(f"i{number}", f"{BASE}.3.{number}", peer_port)
         with trio.fail_after(START_S):
             for name in self.ready:
                 while not await self.is_ready(name):
@@ -126,12 +128,12 @@
 
     async def steer_runner(self, name: str, faults: list[str]) -> None:
         """Set what a runner does wrong with the coming requests."""
-        address = f"127.0.2.1:{self.runner_ports[name]}"
+        address = f"{BASE}.2.1:{self.runner_ports[name]}"
         await _call(address, "PUT", "/fault", json.dumps(faults).encode())
 
     async def book(self, name: str) -> dict[str, list[str]]:
         """Return what reached a runner."""
-        reply = await _call(f"127.0.2.1:{self.runner_ports[name]}", "GET", "/book")
+        reply = await _call(f"{BASE}.2.1:{self.runner_ports[name]}", "GET", "/book")
         return json.loads(reply.body)
 
     async def list_runner(self, name: str, state: str = "ready") -> None:
@@ -148,13 +150,13 @@
 
     async def _start_runner(self, name: str, nursery: trio.Nursery) -> None:
         service = "model" if name.startswith("e") else "plain"
-        port = _free_port("127.0.2.1")
+        port = _free_port(f"{BASE}.2.1")
         self.runner_services[name] = service
         self.runner_ports[name] = port
-        options = (f"--id={name}", f"--service={service}", "--host=127.0.2.1")
+        options = (f"--id={name}", f"--service={service}", f"--host={BASE}.2.1")
         self._add(name, "runner", *options, f"--port={port}")
-        await self._until_listening("127.0.2.1", port)
-        link = Link(("127.0.2.1", port), "127.0.2.3")
+        await self._until_listening(f"{BASE}.2.1", port)
+        link = Link((f"{BASE}.2.1", port), f"{BASE}.2.3")
         await nursery.start(link.run)
         self.links[name] = link
         await self.list_runner(name)
--- a/src/foxtailsaddle/cli/_serve_platform.py
+++ b/src/foxtailsaddle/cli/_serve_platform.py
@@ -6,7 +6,7 @@
 import trio
 
 from .. import forward, platform
-from ..errors import SettingsError
+from ..errors import FoxtailsaddleError, SettingsError
 
 METRICS_PORT = 9464  # as deploy/system.toml names it
 
@@ -27,13 +27,20 @@
 def serve_platform(config: str | None, log_level: str) -> None:
     """Run one instance until SIGTERM.
 
-    :raises SettingsError: the settings file can't be used.
+    :raises FoxtailsaddleError: the settings file can't be used, or an address
+        is taken.
     """
     path = settings_path(config)
     settings = platform.read_process_settings(path)
     log = forward.set_up(settings.instance, log_level)
     app = forward.FrontApplication(_environment(path, settings, log))
-    trio.run(app.run, strict_exception_groups=True)
+    try:
+        trio.run(app.run, strict_exception_groups=True)
+    except* FoxtailsaddleError as group:
+        error = forward.only(group)
+    else:
+        return
+    raise error
 
 
 def _environment(
--- a/src/foxtailsaddle/core/_engine_placement.py
+++ b/src/foxtailsaddle/core/_engine_placement.py
@@ -14,12 +14,18 @@
 from ._engine_time import EngineTime
 from ._ids import DataCentre, EndpointId
 
+OUTPUT_WEIGHT = 10  # a token that is written counts like so many that are read
+WEIGHT_UNIT_TOKENS = 14_000
+LONG_UNIT_TOKENS = 400_000  # long answers are worth more than in proportion
+LONG_UP_TO_TOKENS = 160_000
+
 LATE_SHARE = 0.75  # part of an answer's worth that a late one loses
 RAMP_FROM = 0.7  # share of a bound at which lateness becomes possible
 RAMP_TO = 1.05
 BEYOND_SHARE = 0.02  # further loss for each multiple of the bound
 OPEN_COST = 0.03  # an engine without tight writers is kept for long prompts
-LAST_SLOT_COST = 0.06
+LAST_SLOT_COST = 0.12  # others may be on their way to the same engine
+FILL_FROM = 0.5  # share of the slots up to which a further request costs nothing
 AWAY_COST = 0.002  # another data centre
 SPREAD_COST = 0.02  # differs by instance, so that they don't choose alike
 HELPER_COST = 0.003
@@ -86,6 +92,16 @@
     loss: float
 
 
+def answer_weight(prompt_tokens: int, output_tokens: int) -> float:
+    """Return what an answer is worth to its caller, about 1 for a short one.
+
+    The configuration doesn't say, so it is taken from the size.
+    """
+    size = prompt_tokens + OUTPUT_WEIGHT * output_tokens
+    growth = min(size, LONG_UP_TO_TOKENS) / LONG_UNIT_TOKENS
+    return size / WEIGHT_UNIT_TOKENS * (1 + growth)
+
+
 def place_stream(
     demand: PromptDemand,
     candidates: t.Sequence[EngineCandidate],
@@ -222,8 +238,9 @@
         cost = self._risk(engine) + SPREAD_COST * weight * self._spread(engine.id)
         if self._demand.gap_ms <= TIGHT_GAP_MS and not _has_tight_writers(engine):
             cost += OPEN_COST * weight
-        if engine.load.requests + 1 >= self._time.spec.slots:
-            cost += LAST_SLOT_COST * weight
+        fill = min(1.0, (engine.load.requests + 1) / self._time.spec.slots)
+        over = max(0.0, fill - FILL_FROM) / (1 - FILL_FROM)
+        cost += LAST_SLOT_COST * weight * over * over
         if engine.data_centre != self._data_centre:
             cost += AWAY_COST
         if self._free_tokens(engine) < self._needed_tokens():
--- a/src/foxtailsaddle/core/_reading.py
+++ b/src/foxtailsaddle/core/_reading.py
@@ -24,6 +24,11 @@
     return rank_of_member(RANK_KEY, own, readers) < READERS
 
 
+def is_first_reader(own: InstanceId, readers: t.Iterable[InstanceId]) -> bool:
+    """Return whether an instance is the first in rank among the readers."""
+    return rank_of_member(RANK_KEY, own, readers) == 0
+
+
 def retry_pause_s(
     own: InstanceId, others: t.Iterable[InstanceId], pause_s: float
 ) -> float:
--- a/src/foxtailsaddle/forward/__init__.py
+++ b/src/foxtailsaddle/forward/__init__.py
@@ -3,6 +3,7 @@
 from ._application import FrontApplication, FrontEnvironment, FrontSettings
 from ._exchange import KeptCaller
 from ._logs import BufferedLog, NoLog, set_up
+from ._nursery import only
 
 __all__ = [
     "BufferedLog",
@@ -11,5 +12,6 @@
     "FrontSettings",
     "KeptCaller",
     "NoLog",
+    "only",
     "set_up",
 ]
--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -10,6 +10,7 @@
 import trio
 
 from ..core import DataCentre, InstanceId, RetryWindow, TrafficLimits
+from ..errors import AddressInUseError
 from ..ports import Desk, Schema, Store, Wire
 from ._admission import Admission
 from ._attempt import JobIds
@@ -223,9 +224,14 @@
             if settings.control:
                 snapshot = {SNAPSHOT_PATH: self._snapshot_page}
                 nursery.start_soon(serve_pages, settings.control, snapshot)
-            metrics = {METRICS_PATH: self._metrics_page}
-            address = f"{settings.host}:{settings.metrics_port}"
-            nursery.start_soon(serve_pages, address, metrics)
+            nursery.start_soon(self._serve_metrics)
+
+    async def _serve_metrics(self) -> None:
+        address = f"{self.env.settings.host}:{self.env.settings.metrics_port}"
+        try:
+            await serve_pages(address, {METRICS_PATH: self._metrics_page})
+        except AddressInUseError as error:
+            logger.error("app: serves no metrics", extra={"why": error.message})
 
     def _ready_page(self) -> Page:
         if self._draining.is_set() or self.fleet.table is None:
--- a/src/foxtailsaddle/forward/_fleet.py
+++ b/src/foxtailsaddle/forward/_fleet.py
@@ -19,6 +19,7 @@
 
 FINGERPRINT_BYTES = 12
 FINGERPRINT_HOLD_S = 120.0
+NO_JOB = JobId(0)
 
 
 class Teller(t.Protocol):
@@ -85,6 +86,13 @@
         self.health.note(endpoint, outcome, now)
         self.teller.ended(job, endpoint, outcome)
 
+    def note_outcome(
+        self, endpoint: EndpointId, outcome: AttemptOutcome, now: float
+    ) -> None:
+        """This instance saw, without a job, whether an endpoint answers."""
+        self.health.note(endpoint, outcome, now)
+        self.teller.ended(NO_JOB, endpoint, outcome)
+
     def note_pace(self, endpoint: EndpointId, pace: float, now: float) -> None:
         """This instance saw how fast an endpoint is."""
         self.health.note_pace(endpoint, pace, now)
--- a/src/foxtailsaddle/forward/_followers.py
+++ b/src/foxtailsaddle/forward/_followers.py
@@ -9,6 +9,7 @@
 from ..core import (
     EndpointId,
     InstanceId,
+    is_first_reader,
     retry_pause_s,
     should_read,
 )
@@ -29,7 +30,8 @@
 MIN_FEED_PAUSE_S = 0.1
 LIST_FEED_PAUSE_S = 0.4
 EXPIRE_EVERY_S = 0.25
-BEHIND_S = 0.3  # a change that was told should have arrived by then
+BEHIND_S = 0.3  # a configuration that was told of should have arrived by then
+LIST_BEHIND_S = 0.9  # longer than the readers' own pauses
 CATCH_UP_JITTER_S = 0.05
 SNAPSHOT_TIMEOUT_S = 1.0
 SNAPSHOT_EVERY_S = 0.7
@@ -193,6 +195,11 @@
         readers = [peer.id for peer in self._peers.readers()]
         return not should_read(self._fleet.instance, readers)
 
+    def _is_first_reader(self) -> bool:
+        """Of the readers one tells what changes; the others step in for it."""
+        readers = [peer.id for peer in self._peers.readers()]
+        return is_first_reader(self._fleet.instance, readers)
+
     def _own_retry_s(self, pause_s: float) -> float:
         others = [peer.id for peer in self._peers.live()]
         return retry_pause_s(self._fleet.instance, others, pause_s)
@@ -263,8 +270,9 @@
     def _take_list_rows(self, rows: StoredRows, whole: bool) -> None:
         if whole:
             self._replace_list({row.key: row.value for row in rows.rows})
+        tells = self._peers.reads and self._is_first_reader()
         for row in () if whole else rows.rows:
-            if self._peers.reads and row.version > self._peers.list_version:
+            if tells and row.version > self._peers.list_version:
                 self._peers.listed(Listed(self._peers.list_version, row))
             self._take_list_row(row)
         known = [row.version for row in rows.rows]
@@ -334,7 +342,7 @@
             self._peers.reads = not (is_away or self._may_rest())
             if self._behind_since is None:
                 continue
-            if now - self._behind_since > BEHIND_S:
+            if now - self._behind_since > LIST_BEHIND_S:
                 self._behind_since = None
                 self.list.read_once()
 
--- a/src/foxtailsaddle/forward/_reports.py
+++ b/src/foxtailsaddle/forward/_reports.py
@@ -4,8 +4,8 @@
 
 import trio
 
-from ..core import ListedEndpoint, owner_of
-from ..errors import FoxtailsaddleError
+from ..core import AttemptOutcome, ListedEndpoint, owner_of
+from ..errors import FoxtailsaddleError, NothingSentError
 from ..ports import Desk
 from ._fleet import Fleet
 from ._peers import Peers
@@ -52,6 +52,9 @@
         try:
             report = await self._desk.report(entry.address)
         except FoxtailsaddleError as error:
+            now = trio.current_time()
+            if isinstance(error, NothingSentError):
+                self._fleet.note_outcome(entry.id, AttemptOutcome.UNREACHED, now)
             logger.info(
                 "reports: none", extra={"endpoint": entry.id, "why": error.message}
             )
--- a/src/foxtailsaddle/forward/_sockets.py
+++ b/src/foxtailsaddle/forward/_sockets.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ..errors import NothingSentError
+from ..errors import AddressInUseError, NothingSentError
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -50,11 +50,18 @@
 
 
 async def listen(address: str) -> trio.socket.SocketType:
-    """Listen on ``host:port``."""
+    """Listen on ``host:port``.
+
+    :raises AddressInUseError: another process has it, or the host isn't ours.
+    """
     host, _, port = address.rpartition(":")
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    await sock.bind((host, int(port)))
+    try:
+        await sock.bind((host, int(port)))
+    except OSError as error:
+        sock.close()
+        raise AddressInUseError(f'can\'t listen on "{address}": {error}') from error
     sock.listen(BACKLOG)
     return sock
 
--- a/src/foxtailsaddle/forward/_streams.py
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -16,6 +16,7 @@
     Job,
     PromptDemand,
     StreamPlan,
+    answer_weight,
     place_stream,
 )
 from ..errors import (
@@ -35,8 +36,6 @@
 logger = logging.getLogger("foxtailsaddle.stream")
 
 MAX_SENDS = 6
-OUTPUT_WEIGHT = 10
-WEIGHT_UNIT = 14_000
 RETRY_AFTER_S = 0.5
 SERVER_ERROR = 500
 SPREAD_UNIT = 1 << 32
@@ -196,7 +195,7 @@
             output_tokens=_output_tokens(prompt),
             part_ms=plan.part_ms,
             gap_ms=call.route.gap_s * 1000,
-            weight=_weight(prompt),
+            weight=answer_weight(prompt.prompt, _output_tokens(prompt)),
             placed_at=trio.current_time(),
             held=plan.held_by_endpoint,
         )
@@ -391,10 +390,6 @@
     return min(prompt.max_output, prompt.likely_output)
 
 
-def _weight(prompt: PromptSize) -> float:
-    return (prompt.prompt + OUTPUT_WEIGHT * _output_tokens(prompt)) / WEIGHT_UNIT
-
-
 def _demand(call: Call, now: float) -> PromptDemand:
     prompt = call.request.prompt or PromptSize(0, 0)
     waited_s = now - call.arrived_at
@@ -403,5 +398,5 @@
         output_tokens=_output_tokens(prompt),
         aim_ms=(call.route.aim_s - waited_s) * 1000,
         gap_ms=call.route.gap_s * 1000,
-        weight=_weight(prompt),
+        weight=answer_weight(prompt.prompt, _output_tokens(prompt)),
     )
--- a/standins/front_process.py
+++ b/standins/front_process.py
@@ -68,7 +68,13 @@
         """Run a runner; the service ``model`` streams."""
         streams = service == "model"
         runner = Runner(
-            id, service, host=host, streams=streams, work_s=0.02, gap_s=0.03
+            id,
+            service,
+            host=host,
+            streams=streams,
+            work_s=0.02,
+            gap_s=0.03,
+            reads=True,
         )
         _serve(SteeredRunner(runner).handle, host, port)
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -1,7 +1,8 @@
 """A runner on the users' platform: model engine or plain service.
 
-The engine's times are those of its published speeds, without the work of
-others: enough for tests of what is sent and what becomes of it.
+An engine may read at its published speeds, but it doesn't know of the work of
+others: enough for tests of what is sent and what becomes of it. The engine that
+does is ``standins/passes.py``.
 """
 
 import contextlib
@@ -14,6 +15,9 @@
 
 from .wire import WireConnection, WireRequest, WireServer
 
+READ_TOKENS_PER_MS = 206.0
+PAIR_MS_PER_M = 0.138
+
 
 class Fault(Enum):
     """What a runner does wrong."""
@@ -61,6 +65,7 @@
     :param events: events of each stream.
     :param work_s: time to the answer, or to the first event.
     :param gap_s: time between events.
+    :param reads: whether prompts take the time of the published speeds.
     :param faults: for the coming requests, one each; then ``fault``.
     """
 
@@ -76,6 +81,7 @@
         work_s: float = 0.01,
         gap_s: float = 0.01,
         slots: int = 8,
+        reads: bool = False,
     ) -> None:
         self.id = id
         self.service = service
@@ -85,6 +91,7 @@
         self.work_s = work_s
         self.gap_s = gap_s
         self.slots = slots
+        self.reads = reads
         self.fault = Fault.NONE
         self.faults: list[Fault] = []
         self.seen: list[WireRequest] = []
@@ -154,7 +161,7 @@
     ) -> None:
         if fault is Fault.HANG:
             await trio.sleep_forever()
-        await trio.sleep(self.work_s)
+        await trio.sleep(self.work_s + self._reading_s(request))
         if fault is Fault.RESET:
             connection.reset()
             return
@@ -167,6 +174,17 @@
         status = 500 if fault is Fault.ERROR else 200
         await self._whole(connection, request, fault, status)
 
+    def _reading_s(self, request: WireRequest) -> float:
+        """Return how long this runner's part of the prompt takes to read."""
+        if not (self.reads and self.streams):
+            return 0.0
+        tokens = int(request.headers["x-token-usage"].split(",")[0])
+        helpers = request.headers.get("x-helpers", "")
+        parts = 1 + len([helper for helper in helpers.split(",") if helper])
+        pairs_m = tokens * tokens / 2e6
+        read_ms = tokens / READ_TOKENS_PER_MS + pairs_m * PAIR_MS_PER_M
+        return self.pace * read_ms / parts / 1000
+
     async def _whole(
         self,
         connection: WireConnection,
