The operators' commands take their flags again; exit code 2 is the platform file's own

Cause: make test showed 11 failures after the command line was made lazy: a group was handed out as an instance, so fire passed no flags on, and settings_invalid got exit code 2 for the product's files too. Change: groups are handed out as classes; a wrong platform file has a code of its own (process_settings_invalid, exit 2), the product's stays at 1.

--- a/src/foxtailsaddle/cli/_main.py
+++ b/src/foxtailsaddle/cli/_main.py
@@ -13,7 +13,7 @@
 EXIT_NOT_IN_FORCE = 4
 EXIT_SETTINGS = 2
 EXIT_BY_CODE = {
-    "settings_invalid": EXIT_SETTINGS,
+    "process_settings_invalid": EXIT_SETTINGS,
     "settings_conflict": EXIT_CONFLICT,
     "not_in_force": EXIT_NOT_IN_FORCE,
 }
@@ -36,37 +36,37 @@
     @property
     def settings(self) -> t.Any:
         """Commands about the settings in force."""
-        return _operator().Settings()
+        return _operator().Settings
 
     @property
     def endpoints(self) -> t.Any:
         """Commands about endpoints."""
-        return _operator().Endpoints()
+        return _operator().Endpoints
 
     @property
     def instances(self) -> t.Any:
         """Commands about instances."""
-        return _operator().Instances()
+        return _operator().Instances
 
     @property
     def requests(self) -> t.Any:
         """Commands about requests."""
-        return _operator().Requests()
+        return _operator().Requests
 
     @property
     def ledger(self) -> t.Any:
         """Commands about calls that may not be repeated."""
-        return _operator().Ledger()
+        return _operator().Ledger
 
     @property
     def accounts(self) -> t.Any:
         """Commands about client accounts."""
-        return _operator().Accounts()
+        return _operator().Accounts
 
     @property
     def services(self) -> t.Any:
         """Commands about services."""
-        return _operator().Services()
+        return _operator().Services
 
     def serve(self, config: str, log_level: str = "INFO") -> None:
         """Run one entry instance until SIGTERM or SIGINT.
--- a/src/foxtailsaddle/cli/_serve_platform.py
+++ b/src/foxtailsaddle/cli/_serve_platform.py
@@ -6,7 +6,7 @@
 import trio
 
 from .. import forward, platform
-from ..errors import FoxtailsaddleError, SettingsError
+from ..errors import FoxtailsaddleError, ProcessSettingsError
 
 METRICS_PORT = 9464  # as deploy/system.toml names it
 
@@ -16,11 +16,11 @@
 def settings_path(config: str | None) -> str:
     """Return the path of the settings file.
 
-    :raises SettingsError: neither the argument nor the variable names one.
+    :raises ProcessSettingsError: neither the argument nor the variable names one.
     """
     path = config or os.environ.get(platform.SETTINGS_VARIABLE)
     if not path:
-        raise SettingsError(f"{platform.SETTINGS_VARIABLE} is not set")
+        raise ProcessSettingsError(f"{platform.SETTINGS_VARIABLE} is not set")
     return path
 
 
@@ -77,5 +77,5 @@
     """Read the settings again; addresses are not changed while running."""
     try:
         platform.read_process_settings(path)
-    except SettingsError as error:
+    except ProcessSettingsError as error:
         logger.error("settings: not reloaded", extra={"why": error.message})
--- a/src/foxtailsaddle/errors.py
+++ b/src/foxtailsaddle/errors.py
@@ -36,6 +36,12 @@
     status = 422
 
 
+class ProcessSettingsError(SettingsError):
+    """The settings file that the platform writes for a process can't be used."""
+
+    code = "process_settings_invalid"
+
+
 class SettingsConflictError(FoxtailsaddleError):
     """Another change was accepted first."""
 
--- a/src/foxtailsaddle/platform/_settings.py
+++ b/src/foxtailsaddle/platform/_settings.py
@@ -6,7 +6,7 @@
 import typing as t
 
 from ..core import DataCentre, InstanceId
-from ..errors import SettingsError
+from ..errors import ProcessSettingsError
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,12 +53,14 @@
 def read_process_settings(path: str) -> ProcessSettings:
     """Read the platform's settings file; unknown fields are ignored.
 
-    :raises SettingsError: names the field that is missing or wrong.
+    :raises ProcessSettingsError: names the field that is missing or wrong.
     """
     try:
         fields = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        raise SettingsError(f'settings file "{path}" can\'t be read: {error}') from None
+        raise ProcessSettingsError(
+            f'settings file "{path}" can\'t be read: {error}'
+        ) from None
     reader = _Reader(path, fields)
     return ProcessSettings(
         instance=InstanceId(reader.text("node_name")),
@@ -102,8 +104,8 @@
             value = value.get(name)
         return value
 
-    def _wrong(self, path: str, reason: str) -> SettingsError:
-        return SettingsError(f"{self._file}: {path}: {reason}")
+    def _wrong(self, path: str, reason: str) -> ProcessSettingsError:
+        return ProcessSettingsError(f"{self._file}: {path}: {reason}")
 
     def text(self, path: str) -> str:
         value = self._find(path)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -85,7 +85,7 @@
             check=False,
         )
         assert run.returncode == 2
-        assert "settings_invalid" in run.stderr
+        assert "process_settings_invalid" in run.stderr
         assert "zone" in run.stderr
 
     def test_the_command_says_what_a_good_file_holds(self, tmp_path):
