Crashing requests, hopeless ones and cut events; log lines that explain a failure

What can't begin in time is refused at once with the time at which it could. Ruled out: counting every reset as a death (answer_lost resets half of them).

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -97,7 +97,7 @@
         self._stream = None
 
     def _bytes(self, asked: Asked) -> bytes:
-        tokens = "500000,200" if asked.path == "/stream/long" else "1460,80"
+        tokens = "300000,200" if asked.path == "/stream/long" else "1460,80"
         headers = [
             ("Host", HOST),
             ("X-Request-Id", asked.id),
--- a/src/foxtailsaddle/core/_crashes.py
+++ b/src/foxtailsaddle/core/_crashes.py
@@ -2,7 +2,7 @@
 
 A fingerprint is the digest of client account and body. Deaths of endpoints and
 running copies of a request are counted together, so that no more than
-``MAX_DEATHS`` endpoints can fall to one fingerprint, however often it is sent.
+``max_deaths`` endpoints can fall to one fingerprint, however often it is sent.
 """
 
 import dataclasses
@@ -23,10 +23,12 @@
     """Deaths and running copies, by request fingerprint.
 
     :param hold_s: seconds for which a death is remembered.
+    :param max_deaths: deaths from which on a fingerprint is refused.
     """
 
-    def __init__(self, hold_s: float = 600.0) -> None:
+    def __init__(self, hold_s: float = 600.0, max_deaths: int = MAX_DEATHS) -> None:
         self._hold_s = hold_s
+        self._max_deaths = max_deaths
         self._by_fingerprint: dict[str, _Record] = {}
 
     def __len__(self) -> int:
@@ -56,7 +58,7 @@
 
     def held_for(self, fingerprint: str, now: float) -> float:
         """Return the seconds that the fingerprint stays refused, else 0."""
-        if self.deaths(fingerprint, now) < MAX_DEATHS:
+        if self.deaths(fingerprint, now) < self._max_deaths:
             return 0.0
         return min(self._by_fingerprint[fingerprint].deaths.values()) - now
 
@@ -73,7 +75,7 @@
         running = _still_running(record, now)
         running.pop(request, None)
         record.until = max(record.until, now)
-        if len(record.deaths) + len(running) >= MAX_DEATHS:
+        if len(record.deaths) + len(running) >= self._max_deaths:
             return COPY_WAIT_S
         running[request] = until
         record.until = max(record.until, until)
--- a/src/foxtailsaddle/errors.py
+++ b/src/foxtailsaddle/errors.py
@@ -125,6 +125,13 @@
     status = 422
 
 
+class SuspectRequestError(FoxtailsaddleError):
+    """Endpoints died while they ran this very request; it is not sent again."""
+
+    code = "suspect_request"
+    status = 503
+
+
 class DeadlineExceededError(FoxtailsaddleError):
     """The allowed time ended before the answer was whole."""
 
--- a/src/foxtailsaddle/forward/_admission.py
+++ b/src/foxtailsaddle/forward/_admission.py
@@ -6,9 +6,9 @@
 from ..core import AccountId, Route, RouteKind, RouteTable
 from ..errors import (
     NotReadyError,
-    QuarantinedError,
     RequestInvalidError,
     ServiceUnknownError,
+    SuspectRequestError,
     UnauthorizedError,
 )
 from ..ports import CallerRequest, Headers
@@ -100,7 +100,7 @@
     def _check_quarantine(self, call: Call) -> None:
         held_s = self._fleet.crashes.held_for(call.fingerprint, trio.current_time())
         if held_s:
-            raise QuarantinedError(
+            raise SuspectRequestError(
                 "endpoints died while they ran this request", retry_after_s=held_s
             )
 
--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -14,6 +14,7 @@
 from ..ports import Desk, Schema, Store, Wire
 from ._admission import Admission
 from ._attempt import JobIds
+from ._autopsy import Autopsy
 from ._connection import ClientConnection, Stage
 from ._control import Page, serve_pages
 from ._fleet import Fleet
@@ -145,11 +146,14 @@
         settings = self.env.settings
         ids = JobIds(random.SystemRandom().getrandbits(32))
         wire = self.env.wire
+        autopsy = Autopsy(self.fleet, background)
         reservations = Reservations(self.fleet, self.env.desk, background)
         return Admission(
             self.fleet,
-            StreamForwarder(self.fleet, wire, settings.data_centre, ids, reservations),
-            PlainForwarder(self.fleet, wire, settings.data_centre, ids),
+            StreamForwarder(
+                self.fleet, wire, settings.data_centre, ids, reservations, autopsy
+            ),
+            PlainForwarder(self.fleet, wire, settings.data_centre, ids, autopsy),
         )
 
     def _greet_seeds(self) -> None:
--- a/src/foxtailsaddle/forward/_attempt.py
+++ b/src/foxtailsaddle/forward/_attempt.py
@@ -115,6 +115,11 @@
             )
         return response, answer
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the answer states where it ends."""
+        return self._exchange.is_framed
+
     async def data(self) -> bytes | None:
         """Return the next bytes of the body, ``None`` once it is whole."""
         return await self._broken_as_failed(self._exchange.data())
--- a/src/foxtailsaddle/forward/_fleet.py
+++ b/src/foxtailsaddle/forward/_fleet.py
@@ -19,6 +19,7 @@
 
 FINGERPRINT_BYTES = 12
 FINGERPRINT_HOLD_S = 120.0
+MAX_DEATHS = 3  # two may be bad luck while answers get lost
 NO_JOB = JobId(0)
 
 
@@ -56,7 +57,7 @@
         self.endpoints = EndpointList()
         self.books = EngineBooks()
         self.health = EndpointHealth()
-        self.crashes = CrashGuard(FINGERPRINT_HOLD_S)
+        self.crashes = CrashGuard(FINGERPRINT_HOLD_S, MAX_DEATHS)
         self.retries = retries
         self.live_instances: t.Callable[[], int] = lambda: 1
         self.teller: Teller | None = None
--- a/src/foxtailsaddle/forward/_plain.py
+++ b/src/foxtailsaddle/forward/_plain.py
@@ -1,6 +1,7 @@
 """Forwards calls to plain services: an answer is passed on once it is whole."""
 
 import dataclasses
+import logging
 
 import h11
 import trio
@@ -23,9 +24,12 @@
 )
 from ..ports import Dispatch, Wire
 from ._attempt import Attempt, JobIds, RefusedError
+from ._autopsy import Autopsy
 from ._call import Call
 from ._fleet import Fleet
 
+logger = logging.getLogger("foxtailsaddle.plain")
+
 WRITING_MS = 150.0
 MAX_SENDS = 4
 FIRST_TRY_SHARE = 0.5  # of the time left, before a call is repeated elsewhere
@@ -43,12 +47,18 @@
     """Forwards calls that are answered whole."""
 
     def __init__(
-        self, fleet: Fleet, wire: Wire, data_centre: DataCentre, ids: JobIds
+        self,
+        fleet: Fleet,
+        wire: Wire,
+        data_centre: DataCentre,
+        ids: JobIds,
+        autopsy: Autopsy,
     ) -> None:
         self._fleet = fleet
         self._wire = wire
         self._data_centre = data_centre
         self._ids = ids
+        self._autopsy = autopsy
 
     async def forward(self, call: Call) -> None:
         """Answer a call.
@@ -78,9 +88,12 @@
                 answer = await self._attempt(call, endpoint)
             except (RefusedError, NothingSentError) as failure:
                 error = failure
+                self._log_failure(call, endpoint, failure)
                 continue
             except ExchangeBrokenError as failure:
                 error = failure
+                self._log_failure(call, endpoint, failure)
+                self._autopsy.begin(call, endpoint.id, endpoint.address)
                 if not call.route.repeatable:
                     break
                 continue
@@ -91,6 +104,25 @@
             return last
         raise self._failure(call, error)
 
+    def _log_failure(
+        self, call: Call, endpoint: ListedEndpoint, error: Exception
+    ) -> None:
+        now = trio.current_time()
+        logger.warning(
+            "plain: attempt failed",
+            extra={
+                "id": call.request.id,
+                "endpoint": endpoint.id,
+                "why": str(error),
+                "may_have_run": call.runs,
+                "repeatable": call.route.repeatable,
+                "failure_share": round(
+                    self._fleet.health.failure_share(endpoint.id, now), 2
+                ),
+                "left_ms": round(call.left_s(now) * 1000),
+            },
+        )
+
     def _may_go_on(self, call: Call) -> bool:
         if call.runs and not call.route.repeatable:
             return False
--- a/src/foxtailsaddle/forward/_streams.py
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -25,9 +25,11 @@
     ExchangeBrokenError,
     NoEndpointError,
     NothingSentError,
+    OverloadedError,
 )
 from ..ports import Dispatch, PromptSize, Wire
 from ._attempt import Attempt, JobIds, RefusedError
+from ._autopsy import Autopsy
 from ._call import Call
 from ._events import EventBuffer
 from ._fleet import Fleet
@@ -71,12 +73,14 @@
         data_centre: DataCentre,
         ids: JobIds,
         reservations: Reservations,
+        autopsy: Autopsy,
     ) -> None:
         self._fleet = fleet
         self._wire = wire
         self._data_centre = data_centre
         self._ids = ids
         self._reservations = reservations
+        self._autopsy = autopsy
 
     async def forward(self, call: Call) -> None:
         """Answer a request with a stream.
@@ -93,6 +97,7 @@
             plan = self._plan(call)
             if plan is None:
                 break
+            self._refuse_hopeless(call, plan)
             call.sends += 1
             self._log_placed(call, plan)
             try:
@@ -104,8 +109,22 @@
                     call.full.add(failure.endpoint)
                 self._log_failure(call, plan, failure, relay)
                 relay.buffer.restart()
+                entry = self._fleet.endpoints.get(plan.endpoint)
+                if entry is not None and isinstance(failure, ExchangeBrokenError):
+                    self._autopsy.begin(call, entry.id, entry.address)
         raise self._failure(call, error)
 
+    def _refuse_hopeless(self, call: Call, plan: StreamPlan) -> None:
+        """Refuse at once what no engine can begin before its time is over."""
+        left_s = call.left_s(trio.current_time())
+        first_s = plan.first_event_ms / 1000
+        if call.runs or call.answering.started or first_s <= left_s:
+            return
+        raise OverloadedError(
+            f"the first event is {first_s:.1f} s away, {left_s:.1f} s are left",
+            retry_after_s=max(RETRY_AFTER_S, first_s - call.route.aim_s),
+        )
+
     def _may_go_on(self, call: Call) -> bool:
         if call.runs and not call.route.repeatable:
             return False
@@ -250,6 +269,9 @@
             headers = self._wire.caller_headers(list(response.headers))
             await call.answering.head(response.status_code, headers)
         await self._events(call, attempt, plan, relay)
+        if relay.buffer.rest and not attempt.is_framed:
+            attempt.outcome = AttemptOutcome.FAILED
+            raise ExchangeBrokenError(f'"{plan.endpoint}" ended inside an event')
         attempt.outcome = AttemptOutcome.GOOD
         await call.answering.data(relay.buffer.rest)
         await call.answering.finish()
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -34,7 +34,7 @@
     OTHER_ID = "other_id"  # another request's answer
     EXTRA = "extra"  # a second answer after a whole one
     UNFRAMED = "unframed"  # no length, ends with its connection
-    EARLY = "early"  # answers before the body is read
+    DIE = "die"  # the process ends, and takes no connections any more
 
 
 @dataclasses.dataclass
@@ -100,6 +100,7 @@
         self.orders: list[dict[str, t.Any]] = []
         self.free_tokens = 232_000
         self.pace = 1.0
+        self.is_dead = False
         self.server = WireServer(self.handle, host)
 
     def entry(self, **changes: t.Any) -> dict[str, t.Any]:
@@ -162,7 +163,10 @@
         if fault is Fault.HANG:
             await trio.sleep_forever()
         await trio.sleep(self.work_s + self._reading_s(request))
-        if fault is Fault.RESET:
+        if fault is Fault.DIE:
+            self.is_dead = True
+            self.server.stop()
+        if fault in (Fault.RESET, Fault.DIE):
             connection.reset()
             return
         if fault is Fault.GARBAGE:
--- a/standins/wire.py
+++ b/standins/wire.py
@@ -94,6 +94,7 @@
     def __init__(self, handler: Handler, host: str) -> None:
         self._handler = handler
         self._host = host
+        self._scope = trio.CancelScope()
         self.port = 0
 
     @property
@@ -105,7 +106,12 @@
         """Serve until cancelled."""
         listeners = await trio.open_tcp_listeners(self.port, host=self._host)
         self.port = listeners[0].socket.getsockname()[1]
-        await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+        with self._scope:
+            await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        self._scope.cancel()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         connection = WireConnection(stream)
