--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -131,6 +131,11 @@
         address = f"{BASE}.2.1:{self.runner_ports[name]}"
         await _call(address, "PUT", "/fault", json.dumps(faults).encode())
 
+    async def set_events(self, name: str, events: int) -> None:
+        """Set how many events the streams of a runner have."""
+        address = f"{BASE}.2.1:{self.runner_ports[name]}"
+        await _call(address, "PUT", "/events", json.dumps(events).encode())
+
     async def book(self, name: str) -> dict[str, list[str]]:
         """Return what reached a runner."""
         reply = await _call(f"{BASE}.2.1:{self.runner_ports[name]}", "GET", "/book")
--- a/standins/front_process.py
+++ b/standins/front_process.py
@@ -35,7 +35,7 @@
 
 
 class SteeredRunner:
-    """A runner, ``GET /book`` with what reached it, and ``PUT /fault``."""
+    """A runner, ``GET /book`` of what reached it, ``PUT /fault`` and ``/events``."""
 
     def __init__(self, runner: Runner) -> None:
         self.runner = runner
@@ -47,6 +47,9 @@
         if request.path == "/fault" and request.method == "PUT":
             self.runner.faults = [Fault(name) for name in request.json()]
             return await connection.answer(200, b"{}")
+        if request.path == "/events" and request.method == "PUT":
+            self.runner.events = request.json()
+            return await connection.answer(200, b"{}")
         return await self.runner.handle(connection, request)
 
     def _book(self) -> dict[str, t.Any]:
