A prompt that is slow to begin is not given up early; engines are doubted together

Change: the limit is 1.5 s past three times the prediction; a stuck prompt raises a doubt in each engine that read it, told to all, and a prompt that was read clears it; weights are in proportion to size again.

--- a/src/foxtailsaddle/core/_endpoint_health.py
+++ b/src/foxtailsaddle/core/_endpoint_health.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import math
+import typing as t
 from enum import Enum
 
 from ._ids import EndpointId
@@ -26,6 +27,7 @@
     FAILED = 1
     NEUTRAL = 2
     UNREACHED = 3
+    STUCK = 4  # one of the engines that read a prompt together did not read
 
 
 @dataclasses.dataclass(slots=True)
@@ -34,6 +36,7 @@
     failures: float = 0.0
     unbroken: float = 0.0
     pace: float = 1.0
+    doubt: float = 0.0
     at: float = 0.0
 
 
@@ -45,7 +48,7 @@
 
     def note(self, endpoint: EndpointId, outcome: AttemptOutcome, now: float) -> None:
         """Count how an attempt ended."""
-        if outcome is AttemptOutcome.NEUTRAL:
+        if outcome in (AttemptOutcome.NEUTRAL, AttemptOutcome.STUCK):
             return
         record = self._faded(endpoint, now)
         record.tries += 1
@@ -60,6 +63,28 @@
         record = self._faded(endpoint, now)
         record.pace = min(MAX_PACE, max(MIN_PACE, pace))
 
+    def note_together(
+        self, members: t.Collection[EndpointId], outcome: AttemptOutcome, now: float
+    ) -> None:
+        """Take in how a prompt fared that several engines read together.
+
+        Which of them held it up is not told, so each is doubted a little; a
+        prompt that was read clears them.
+        """
+        if len(members) < 2:
+            return
+        for endpoint in members:
+            if outcome is AttemptOutcome.STUCK:
+                self._faded(endpoint, now).doubt += 1 / len(members)
+            elif outcome is AttemptOutcome.GOOD:
+                self._faded(endpoint, now).doubt = 0.0
+
+    def doubt(self, endpoint: EndpointId, now: float) -> float:
+        """Return how far an engine is doubted to read its part, from 0."""
+        if endpoint not in self._record_by_endpoint:
+            return 0.0
+        return self._faded(endpoint, now).doubt
+
     def failure_share(self, endpoint: EndpointId, now: float) -> float:
         """Return the share of attempts that is expected to fail."""
         record = self._record_by_endpoint.get(endpoint)
@@ -93,6 +118,7 @@
             record.tries *= keep
             record.failures *= keep
             record.unbroken *= keep
+            record.doubt *= keep
             record.pace = 1 + (record.pace - 1) * keep
             record.at = now
         return record
--- a/src/foxtailsaddle/core/_engine_books.py
+++ b/src/foxtailsaddle/core/_engine_books.py
@@ -44,6 +44,11 @@
     ends_at: float = 0.0
     began: bool = False
 
+    @property
+    def engines(self) -> tuple[EndpointId, ...]:
+        """All engines that read a part of the prompt."""
+        return (self.endpoint, *self.helpers)
+
     @property
     def kv_tokens(self) -> int:
         """Memory that the job takes at its endpoint."""
@@ -96,7 +101,7 @@
         if job.id in self._job_by_id:
             return
         self._job_by_id[job.id] = job
-        for endpoint in (job.endpoint, *job.helpers):
+        for endpoint in job.engines:
             book = self._book_by_endpoint.setdefault(endpoint, _Book())
             book.read_until = max(now, book.read_until) + job.part_ms / 1000
             job.read_until = max(job.read_until, book.read_until)
@@ -114,13 +119,14 @@
         job.read_until = now
         self._drop_parts(job, now)
 
-    def end(self, job_id: JobId, now: float) -> None:
-        """Remove a job, whatever became of it."""
+    def end(self, job_id: JobId, now: float) -> Job | None:
+        """Remove a job, whatever became of it, and return it."""
         job = self._job_by_id.pop(job_id, None)
         if job is None:
-            return
+            return None
         self._drop_parts(job, now)
         self._book_by_endpoint[job.endpoint].jobs.pop(job_id, None)
+        return job
 
     def end_of(self, origin: InstanceId, now: float) -> None:
         """Remove all jobs of an instance that has gone."""
@@ -171,7 +177,7 @@
         return [job for job in self._job_by_id.values() if endpoint in job.held]
 
     def _drop_parts(self, job: Job, now: float) -> None:
-        for endpoint in (job.endpoint, *job.helpers):
+        for endpoint in job.engines:
             book = self._book_by_endpoint.get(endpoint)
             if book is None or book.parts.pop(job.id, None) is None:
                 continue
--- a/src/foxtailsaddle/core/_engine_placement.py
+++ b/src/foxtailsaddle/core/_engine_placement.py
@@ -16,13 +16,11 @@
 
 OUTPUT_WEIGHT = 10  # a token that is written counts like so many that are read
 WEIGHT_UNIT_TOKENS = 14_000
-LONG_UNIT_TOKENS = 400_000  # long answers are worth more than in proportion
-LONG_UP_TO_TOKENS = 160_000
 
 LATE_SHARE = 0.75  # part of an answer's worth that a late one loses
 RAMP_FROM = 0.7  # share of a bound at which lateness becomes possible
 RAMP_TO = 1.05
-BEYOND_SHARE = 0.02  # further loss for each multiple of the bound
+BEYOND_SHARE = 0.005  # further loss for each multiple of the bound
 OPEN_COST = 0.03  # an engine without tight writers is kept for long prompts
 LAST_SLOT_COST = 0.12  # others may be on their way to the same engine
 FILL_FROM = 0.5  # share of the slots up to which a further request costs nothing
@@ -37,6 +35,7 @@
 SPLIT_FROM_MS = 60.0  # a prompt that is read faster has no helpers
 MEMORY_FILL = 0.97
 HOLD_FILL = 0.8  # of a helper's free memory, since its own requests grow
+DOUBT_SHARE = 0.5
 SLOW_PACE = 1.25
 NORMAL_FAILURE_SHARE = 0.0125
 NETWORK_MS = 5.0
@@ -63,6 +62,7 @@
     """An engine that could take part, as it is believed to be now.
 
     :param pace: how many times slower than published it is.
+    :param doubt: how far it is doubted to read parts of prompts, from 0.
     :param may_hold: false when it has just refused to set memory aside.
     """
 
@@ -71,6 +71,7 @@
     load: EngineLoad
     pace: float = 1.0
     failure_share: float = NORMAL_FAILURE_SHARE
+    doubt: float = 0.0
     may_hold: bool = True
 
 
@@ -97,9 +98,7 @@
 
     The configuration doesn't say, so it is taken from the size.
     """
-    size = prompt_tokens + OUTPUT_WEIGHT * output_tokens
-    growth = min(size, LONG_UP_TO_TOKENS) / LONG_UNIT_TOKENS
-    return size / WEIGHT_UNIT_TOKENS * (1 + growth)
+    return (prompt_tokens + OUTPUT_WEIGHT * output_tokens) / WEIGHT_UNIT_TOKENS
 
 
 def place_stream(
@@ -223,7 +222,9 @@
         return self._helper_cost(engine, part_ms) + late, engine.load.read_ms
 
     def _helper_cost(self, engine: EngineCandidate, part_ms: float) -> float:
-        return HELPER_COST + self._harm(engine, part_ms, 0) + self._risk(engine)
+        doubt = DOUBT_SHARE * engine.doubt * self._demand.weight
+        harm = self._harm(engine, part_ms, 0)
+        return HELPER_COST + harm + self._risk(engine) + doubt
 
     def _main_cost(
         self, engine: EngineCandidate, part_ms: float
--- a/src/foxtailsaddle/forward/_fleet.py
+++ b/src/foxtailsaddle/forward/_fleet.py
@@ -83,10 +83,22 @@
 
         :param endpoint: the one that the outcome tells of.
         """
-        self.books.end(job, now)
-        self.health.note(endpoint, outcome, now)
+        self.take_end(job, endpoint, outcome, now)
         self.teller.ended(job, endpoint, outcome)
 
+    def take_end(
+        self,
+        job: JobId,
+        endpoint: EndpointId,
+        outcome: AttemptOutcome,
+        now: float,
+    ) -> None:
+        """A job of any instance has ended."""
+        ended = self.books.end(job, now)
+        self.health.note(endpoint, outcome, now)
+        if ended is not None:
+            self.health.note_together(ended.engines, outcome, now)
+
     def note_outcome(
         self, endpoint: EndpointId, outcome: AttemptOutcome, now: float
     ) -> None:
--- a/src/foxtailsaddle/forward/_peers.py
+++ b/src/foxtailsaddle/forward/_peers.py
@@ -312,8 +312,7 @@
             case Began():
                 fleet.books.begin(note.job, now)
             case Ended():
-                fleet.books.end(note.job, now)
-                fleet.health.note(note.endpoint, note.outcome, now)
+                fleet.take_end(note.job, note.endpoint, note.outcome, now)
             case Paced():
                 fleet.health.note_pace(note.endpoint, note.pace, now)
             case Listed():
--- a/src/foxtailsaddle/forward/_streams.py
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -47,7 +47,8 @@
 PATIENCE_AIMS = 4
 PATIENCE_GAPS = 8
 STALL_SHARE = 0.55
-HELPED_SLACK_S = 1.0  # a part that is stuck at a helper shows by then
+HELPED_SLACK_S = 1.5  # a part that is stuck at a helper shows by then
+HELPED_FACTOR = 3.0  # giving up sooner reads prompts twice just when engines are busy
 PACE_EVENTS = 3
 PACE_TOLD_FROM = 1.6
 
@@ -190,6 +191,7 @@
                 load=self._fleet.books.load(entry.id, now),
                 pace=self._fleet.health.pace(entry.id, now),
                 failure_share=self._fleet.health.failure_share(entry.id, now),
+                doubt=self._fleet.health.doubt(entry.id, now),
                 may_hold=entry.id not in call.full,
             )
             for entry in good or untried or usable
@@ -285,7 +287,7 @@
             return response
         if plan.helpers:
             # Any of them may be the one that has not read its part.
-            call.tried += plan.helpers
+            attempt.outcome = AttemptOutcome.STUCK
         else:
             attempt.outcome = AttemptOutcome.FAILED
         raise ExchangeBrokenError(f'"{plan.endpoint}" was silent for {limit_s:.1f} s')
@@ -296,7 +298,7 @@
             return float("inf")
         predicted_s = plan.first_event_ms / 1000
         if plan.helpers:
-            return HELPED_SLACK_S + 2 * predicted_s
+            return HELPED_SLACK_S + HELPED_FACTOR * predicted_s
         return max(_stall_s(call), 2 * predicted_s)
 
     def _has_another(self, call: Call) -> bool:
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -84,6 +84,15 @@
         assert not health.is_shunned(EndpointId("x"), 1.0)
         assert health.failure_share(EndpointId("x"), 1.0) > 0.25
 
+    def test_whoever_holds_up_prompts_is_found_among_many(self):
+        """One of the engines never reads its part; which one is not told."""
+        health = EndpointHealth()
+        health.note_together(["a", "b", "c", "bad"], Outcome.STUCK, 0.0)
+        health.note_together(["d", "e", "bad"], Outcome.STUCK, 0.1)
+        health.note_together(["a", "b", "c", "d", "e"], Outcome.GOOD, 0.2)
+        assert health.doubt("bad", 0.2) > 0.4
+        assert not any(health.doubt(name, 0.2) for name in "abcde")
+
     def test_a_slow_endpoint_is_forgiven_in_time(self):
         health = EndpointHealth()
         for at in range(4):
--- a/tests/test_engine_placement.py
+++ b/tests/test_engine_placement.py
@@ -76,6 +76,11 @@
         plan = place(long_prompt(), slow + [engine(str(n)) for n in range(9)])
         assert not {plan.endpoint, *plan.helpers} & {e.id for e in slow}
 
+    def test_prefer_helpers_that_are_not_doubted(self):
+        doubted = [engine(f"doubted{n}", doubt=0.3) for n in range(4)]
+        plan = place(long_prompt(), doubted + [engine(str(n)) for n in range(10)])
+        assert not set(plan.helpers) & {e.id for e in doubted}
+
     def test_no_engine_is_no_plan(self):
         assert place(long_prompt(), []) is None
 
