--- a/src/foxtailsaddle/app/_application.py
+++ b/src/foxtailsaddle/app/_application.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from .._tasks import keep_running
 from ..core import Liveness, Member, Members, MemberState
 from ._attempts import AttemptRunner
 from ._environment import Environment
@@ -29,7 +30,6 @@
 SUSPECT_HEARTBEATS = 6
 CLOSE_LEDGER_S = 10.0
 FIRST_SETTINGS_PAUSE_S = 0.2
-RESTART_PAUSE_S = 1.0
 
 
 class Application:
@@ -97,7 +97,7 @@
             self.watcher.watch,
             self.placement.run,
         ):
-            background.start_soon(_keep_running, task)
+            background.start_soon(keep_running, task)
         logger.info("app: started")
 
     def drain(self) -> None:
@@ -196,19 +196,6 @@
         return [time_s for time_s in times if time_s] or [600.0]
 
 
-async def _keep_running(task: t.Callable[[], t.Awaitable[None]]) -> None:
-    """Run a control task for ever, and again after a fault of ours.
-
-    A fault that many instances meet at once must not end them all.
-    """
-    while True:
-        try:
-            await task()
-        except Exception:
-            logger.exception("app: control task failed")
-        await trio.sleep(RESTART_PAUSE_S)
-
-
 async def _for_ever() -> float:
     await trio.sleep_forever()
     return 0.0
--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from .._tasks import keep_running
 from ..core import DataCentre, InstanceId, RetryWindow, TrafficLimits
 from ..errors import AddressInUseError
 from ..ports import Desk, Schema, Store, Wire
@@ -123,10 +124,10 @@
             background.start_soon(self.env.log.run)
             if self.env.handle_signals:
                 background.start_soon(self._handle_signals)
-            background.start_soon(self.peers.run)
+            background.start_soon(keep_running, self.peers.run)
             self._greet_seeds()
-            background.start_soon(self.followers.run)
-            background.start_soon(self.reports.run)
+            background.start_soon(keep_running, self.followers.run)
+            background.start_soon(keep_running, self.reports.run)
             background.start_soon(self._serve_small_pages)
             async with trio.open_nursery() as clients:
                 clients.start_soon(self._accept, clients, self._admission(background))
@@ -197,6 +198,8 @@
         self._connections.add(connection)
         try:
             await connection.serve()
+        except Exception:
+            logger.exception("app: a connection met a fault of ours")
         finally:
             self._connections.discard(connection)
 
--- a/src/foxtailsaddle/forward/_peers.py
+++ b/src/foxtailsaddle/forward/_peers.py
@@ -133,11 +133,15 @@
     async def run(self) -> None:
         """Send and receive until cancelled."""
         self._sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
-        await self._sock.bind(self._address)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._receive)
-            nursery.start_soon(self._send_notes)
-            nursery.start_soon(self._beat)
+        try:
+            await self._sock.bind(self._address)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive)
+                nursery.start_soon(self._send_notes)
+                nursery.start_soon(self._beat)
+        finally:
+            self._sock.close()
+            self._sock = None
 
     def placed(self, job: Job, writing_ms: float) -> None:
         """A job was given to an endpoint."""
--- a/src/foxtailsaddle/forward/_plain.py
+++ b/src/foxtailsaddle/forward/_plain.py
@@ -15,18 +15,13 @@
     PlainCandidate,
     place_plain,
 )
-from ..errors import (
-    DeadlineExceededError,
-    EndpointFailedError,
-    ExchangeBrokenError,
-    NoEndpointError,
-    NothingSentError,
-)
+from ..errors import ExchangeBrokenError, NoEndpointError, NothingSentError
 from ..ports import Dispatch, Wire
 from ._attempt import Attempt, JobIds, RefusedError
 from ._autopsy import Autopsy
 from ._call import Call
 from ._fleet import Fleet
+from ._retrying import final_error, may_go_on, usable_endpoints
 
 logger = logging.getLogger("foxtailsaddle.plain")
 
@@ -77,7 +72,7 @@
             f'service "{call.service.id}" has no endpoint', retry_after_s=RETRY_AFTER_S
         )
         while call.sends < MAX_SENDS:
-            if call.sends and not self._may_go_on(call):
+            if call.sends and not may_go_on(self._fleet, call, trio.current_time()):
                 break
             endpoint = self._choose(call)
             if endpoint is None:
@@ -102,7 +97,7 @@
             last = answer
         if last is not None:
             return last
-        raise self._failure(call, error)
+        raise final_error(call, error, trio.current_time(), RETRY_AFTER_S)
 
     def _log_failure(
         self, call: Call, endpoint: ListedEndpoint, error: Exception
@@ -123,27 +118,10 @@
             },
         )
 
-    def _may_go_on(self, call: Call) -> bool:
-        if call.runs and not call.route.repeatable:
-            return False
-        if call.runs >= call.route.max_attempts:
-            return False
-        now = trio.current_time()
-        return call.left_s(now) > 0 and self._fleet.may_retry(call.service.id, now)
-
-    def _failure(self, call: Call, error: Exception) -> Exception:
-        if not call.runs:
-            return NoEndpointError(str(error), retry_after_s=RETRY_AFTER_S)
-        if call.left_s(trio.current_time()) <= 0:
-            return DeadlineExceededError(str(error), verdict=call.verdict)
-        return EndpointFailedError(str(error), verdict=call.verdict)
-
     def _choose(self, call: Call) -> ListedEndpoint | None:
         now = trio.current_time()
-        usable = self._fleet.endpoints.usable(call.service.id)
-        untried = [entry for entry in usable if entry.id not in call.tried]
-        good = [e for e in untried if not self._fleet.health.is_shunned(e.id, now)]
-        by_id = {entry.id: entry for entry in good or untried or usable}
+        usable = usable_endpoints(self._fleet, call, now)
+        by_id = {entry.id: entry for entry in usable}
         candidates = [self._candidate(entry, now) for entry in by_id.values()]
         chosen = place_plain(candidates, self._data_centre)
         return by_id[chosen] if chosen else None
--- a/src/foxtailsaddle/forward/_streams.py
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -1,6 +1,5 @@
 """Forwards streams from model engines, and lets broken ones go on elsewhere."""
 
-import dataclasses
 import logging
 
 import h11
@@ -20,8 +19,6 @@
     place_stream,
 )
 from ..errors import (
-    DeadlineExceededError,
-    EndpointFailedError,
     ExchangeBrokenError,
     NoEndpointError,
     NothingSentError,
@@ -34,6 +31,8 @@
 from ._events import EventBuffer
 from ._fleet import Fleet
 from ._reservations import MemoryFullError, Reservations
+from ._retrying import final_error, has_another_run, may_go_on, usable_endpoints
+from ._silence import Pace, first_event_limit_s, pause_limit_s
 
 logger = logging.getLogger("foxtailsaddle.stream")
 
@@ -43,12 +42,6 @@
 SPREAD_UNIT = 1 << 32
 OK = 200
 
-PATIENCE_S = 2.0  # clients leave a stream after the longest of these silences
-PATIENCE_AIMS = 4
-PATIENCE_GAPS = 8
-STALL_SHARE = 0.55
-HELPED_SLACK_S = 1.5  # a part that is stuck at a helper shows by then
-HELPED_FACTOR = 3.0  # giving up sooner reads prompts twice just when engines are busy
 PACE_EVENTS = 3
 PACE_TOLD_FROM = 1.6
 
@@ -56,14 +49,6 @@
 FIRST_PRIORITY = 2
 
 
-@dataclasses.dataclass(slots=True)
-class _Relay:
-    """What the caller of a stream has been sent so far."""
-
-    buffer: EventBuffer
-    resumed: bool = False
-
-
 class StreamForwarder:
     """Forwards requests whose answers are streams of events."""
 
@@ -88,12 +73,12 @@
 
         :raises FoxtailsaddleError: the stream could not be started or finished.
         """
-        relay = _Relay(EventBuffer())
+        buffer = EventBuffer()
         error: Exception = NoEndpointError(
             f'service "{call.service.id}" has no engine', retry_after_s=RETRY_AFTER_S
         )
         while call.sends < MAX_SENDS:
-            if call.sends and not self._may_go_on(call):
+            if call.sends and not may_go_on(self._fleet, call, trio.current_time()):
                 break
             plan = self._plan(call)
             if plan is None:
@@ -102,18 +87,18 @@
             call.sends += 1
             self._log_placed(call, plan)
             try:
-                await self._attempt(call, plan, relay)
+                await self._attempt(call, plan, buffer)
                 return
             except (RefusedError, NothingSentError, ExchangeBrokenError) as failure:
                 error = failure
                 if isinstance(failure, MemoryFullError):
                     call.full.add(failure.endpoint)
-                self._log_failure(call, plan, failure, relay)
-                relay.buffer.restart()
+                self._log_failure(call, plan, failure, buffer)
+                buffer.restart()
                 entry = self._fleet.endpoints.get(plan.endpoint)
                 if entry is not None and isinstance(failure, ExchangeBrokenError):
                     self._autopsy.begin(call, entry.id, entry.address)
-        raise self._failure(call, error)
+        raise final_error(call, error, trio.current_time(), RETRY_AFTER_S)
 
     def _refuse_hopeless(self, call: Call, plan: StreamPlan) -> None:
         """Refuse at once what no engine can begin before its time is over."""
@@ -126,21 +111,6 @@
             retry_after_s=max(RETRY_AFTER_S, first_s - call.route.aim_s),
         )
 
-    def _may_go_on(self, call: Call) -> bool:
-        if call.runs and not call.route.repeatable:
-            return False
-        if call.runs >= call.route.max_attempts:
-            return False
-        now = trio.current_time()
-        return call.left_s(now) > 0 and self._fleet.may_retry(call.service.id, now)
-
-    def _failure(self, call: Call, error: Exception) -> Exception:
-        if not call.runs:
-            return NoEndpointError(str(error), retry_after_s=RETRY_AFTER_S)
-        if call.left_s(trio.current_time()) <= 0:
-            return DeadlineExceededError(str(error), verdict=call.verdict)
-        return EndpointFailedError(str(error), verdict=call.verdict)
-
     def _log_placed(self, call: Call, plan: StreamPlan) -> None:
         now = trio.current_time()
         load = self._fleet.books.load(plan.endpoint, now)
@@ -164,7 +134,7 @@
         )
 
     def _log_failure(
-        self, call: Call, plan: StreamPlan, error: Exception, relay: _Relay
+        self, call: Call, plan: StreamPlan, error: Exception, buffer: EventBuffer
     ) -> None:
         logger.warning(
             "stream: attempt failed",
@@ -172,7 +142,7 @@
                 "id": call.request.id,
                 "endpoint": plan.endpoint,
                 "helpers": len(plan.helpers),
-                "events": relay.buffer.events,
+                "events": buffer.events,
                 "why": str(error),
                 "may_have_run": call.runs,
             },
@@ -181,9 +151,6 @@
     def _plan(self, call: Call) -> StreamPlan | None:
         now = trio.current_time()
         spec = call.service.engine
-        usable = self._fleet.endpoints.usable(call.service.id)
-        untried = [entry for entry in usable if entry.id not in call.tried]
-        good = [e for e in untried if not self._fleet.health.is_shunned(e.id, now)]
         candidates = [
             EngineCandidate(
                 id=entry.id,
@@ -194,7 +161,7 @@
                 doubt=self._fleet.health.doubt(entry.id, now),
                 may_hold=entry.id not in call.full,
             )
-            for entry in good or untried or usable
+            for entry in usable_endpoints(self._fleet, call, now)
         ]
         demand = _demand(call, now)
         time = EngineTime(spec)
@@ -221,7 +188,7 @@
             held=plan.held_by_endpoint,
         )
 
-    async def _attempt(self, call: Call, plan: StreamPlan, relay: _Relay) -> None:
+    async def _attempt(self, call: Call, plan: StreamPlan, buffer: EventBuffer) -> None:
         entry = self._fleet.endpoints.get(plan.endpoint)
         if entry is None:
             raise NothingSentError(f'"{plan.endpoint}" is gone')
@@ -231,10 +198,10 @@
         left_s = call.left_s(trio.current_time())
         with Attempt(self._fleet, self._wire, call, job, writing_ms) as attempt:
             async with self._reservations.held(job, left_s) as helpers:
-                dispatch = self._dispatch(call, plan, helpers, relay)
+                dispatch = self._dispatch(call, plan, helpers, buffer)
                 with trio.move_on_at(call.expires_at):
                     async with attempt.sending(entry.address, dispatch):
-                        await self._relay(call, attempt, plan, relay)
+                        await self._relay(call, attempt, plan, buffer)
                     return
                 raise ExchangeBrokenError(f'"{plan.endpoint}" ran out of time')
 
@@ -243,7 +210,7 @@
         call: Call,
         plan: StreamPlan,
         helpers: tuple[tuple[str, str], ...],
-        relay: _Relay,
+        buffer: EventBuffer,
     ) -> Dispatch:
         read_ms = plan.part_ms * (1 + len(plan.helpers))
         steps = sum(read_ms > bound_ms for bound_ms in PRIORITY_STEPS_MS)
@@ -253,11 +220,11 @@
             account=call.account,
             priority=FIRST_PRIORITY + steps,
             helpers=helpers,
-            after_event=relay.buffer.last_id if relay.buffer.events else None,
+            after_event=buffer.last_id if buffer.events else None,
         )
 
     async def _relay(
-        self, call: Call, attempt: Attempt, plan: StreamPlan, relay: _Relay
+        self, call: Call, attempt: Attempt, plan: StreamPlan, buffer: EventBuffer
     ) -> None:
         try:
             response = await self._head(call, attempt, plan)
@@ -270,18 +237,18 @@
         if not call.answering.started:
             headers = self._wire.caller_headers(list(response.headers))
             await call.answering.head(response.status_code, headers)
-        await self._events(call, attempt, plan, relay)
-        if relay.buffer.rest and not attempt.is_framed:
+        await self._events(call, attempt, plan, buffer)
+        if buffer.rest and not attempt.is_framed:
             attempt.outcome = AttemptOutcome.FAILED
             raise ExchangeBrokenError(f'"{plan.endpoint}" ended inside an event')
         attempt.outcome = AttemptOutcome.GOOD
-        await call.answering.data(relay.buffer.rest)
+        await call.answering.data(buffer.rest)
         await call.answering.finish()
 
     async def _head(
         self, call: Call, attempt: Attempt, plan: StreamPlan
     ) -> h11.Response:
-        limit_s = self._first_event_limit_s(call, plan)
+        limit_s = first_event_limit_s(call, plan)
         with trio.move_on_after(limit_s):
             response, _ = await attempt.head()
             return response
@@ -292,25 +259,11 @@
             attempt.outcome = AttemptOutcome.FAILED
         raise ExchangeBrokenError(f'"{plan.endpoint}" was silent for {limit_s:.1f} s')
 
-    def _first_event_limit_s(self, call: Call, plan: StreamPlan) -> float:
-        """Return the silence after which a request goes on elsewhere."""
-        if not self._has_another(call):
-            return float("inf")
-        predicted_s = plan.first_event_ms / 1000
-        if plan.helpers:
-            return HELPED_SLACK_S + HELPED_FACTOR * predicted_s
-        return max(_stall_s(call), 2 * predicted_s)
-
-    def _has_another(self, call: Call) -> bool:
-        return call.route.repeatable and call.runs < call.route.max_attempts
-
     async def _events(
-        self, call: Call, attempt: Attempt, plan: StreamPlan, relay: _Relay
+        self, call: Call, attempt: Attempt, plan: StreamPlan, buffer: EventBuffer
     ) -> None:
-        pace = _Pace(trio.current_time())
-        stall_s = max(_stall_s(call), 2 * plan.first_event_ms / 1000)
-        if not self._has_another(call):
-            stall_s = float("inf")
+        pace = Pace(trio.current_time())
+        stall_s = pause_limit_s(call, plan)
         while True:
             data: bytes | None = None
             with trio.move_on_after(stall_s) as scope:
@@ -320,14 +273,14 @@
                 raise ExchangeBrokenError(f'"{plan.endpoint}" went silent')
             if data is None:
                 return
-            whole = relay.buffer.feed(data)
+            whole = buffer.feed(data)
             if not whole:
                 continue
             self._note_event(call, attempt, plan, pace)
             await call.answering.data(whole)
 
     def _note_event(
-        self, call: Call, attempt: Attempt, plan: StreamPlan, pace: "_Pace"
+        self, call: Call, attempt: Attempt, plan: StreamPlan, pace: Pace
     ) -> None:
         now = trio.current_time()
         if not pace.events:
@@ -342,9 +295,7 @@
         if pace.events == PACE_EVENTS:
             self._judge_pace(call, attempt, pace, now)
 
-    def _judge_pace(
-        self, call: Call, attempt: Attempt, pace: "_Pace", now: float
-    ) -> None:
+    def _judge_pace(self, call: Call, attempt: Attempt, pace: Pace, now: float) -> None:
         job = attempt.job
         load = self._fleet.books.load(job.endpoint, now)
         time = EngineTime(call.service.engine)
@@ -360,7 +311,7 @@
         body = await attempt.body()
         if response.status_code >= SERVER_ERROR:
             attempt.outcome = AttemptOutcome.FAILED
-            if self._has_another(call) or call.answering.started:
+            if has_another_run(call) or call.answering.started:
                 raise ExchangeBrokenError(
                     f'"{attempt.job.endpoint}" answered {response.status_code}'
                 )
@@ -385,29 +336,6 @@
         call.tried.append(attempt.job.endpoint)
 
 
-class _Pace:
-    """Pauses between the events of one stream."""
-
-    def __init__(self, now: float) -> None:
-        self.events = 0
-        self.shortest_s = float("inf")
-        self._last = now
-
-    def note(self, now: float) -> None:
-        if self.events:
-            self.shortest_s = min(self.shortest_s, now - self._last)
-        self.events += 1
-        self._last = now
-
-
-def _stall_s(call: Call) -> float:
-    """Return the silence after which a stream goes on elsewhere."""
-    patience_s = max(
-        PATIENCE_S, PATIENCE_AIMS * call.route.aim_s, PATIENCE_GAPS * call.route.gap_s
-    )
-    return STALL_SHARE * patience_s
-
-
 def _output_tokens(prompt: PromptSize) -> int:
     if prompt.likely_output is None:
         return prompt.max_output // 2
--- a/tests/test_forward_requests.py
+++ b/tests/test_forward_requests.py
@@ -1,6 +1,7 @@
 """Requests on the users' platform: what reaches an endpoint, and what returns."""
 
 import json
+import socket
 
 import trio
 
@@ -410,6 +411,21 @@
             assert "retry-after" in reply.headers
 
 
+class TestNonsense:
+    @in_world(plain=1, instances=2)
+    async def test_from_peers_and_store_ends_no_instance(self, world):
+        first, second = world.apps
+        await eventually(lambda: first.peers.live() and second.peers.live())
+        address = (first.env.settings.host, first.env.settings.peer_port)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            for data in (b"", b"\x00" * 40, b"nonsense", bytes(range(256))):
+                sock.sendto(data, address)
+        world.rows.put("instances", "broken", b"\xff\xfe no address")
+        await trio.sleep(0.3)
+        assert (await world.ask(first, "/safe/x")).status == 200
+        assert first.peers.live()
+
+
 class TestKeptCaller:
     @in_world(plain=0, engines=0)
     async def test_a_lost_answer_ends_the_connection(self, world):
