--- a/src/foxtailsaddle/adapters/_operator_client.py
+++ b/src/foxtailsaddle/adapters/_operator_client.py
@@ -4,7 +4,7 @@
 import typing as t
 from urllib.parse import quote
 
-from ..errors import FoxtailsaddleError
+from ..errors import ExchangeBrokenError, FoxtailsaddleError
 from ..ports import HttpClient, HttpRequest
 from ..verdicts import Verdict
 
@@ -94,7 +94,14 @@
             idle_timeout_s=IDLE_TIMEOUT_S,
         )
         async with self._client.exchange(request) as response:
-            answer = json.loads(await response.read())
+            body = await response.read()
+        try:
+            answer = json.loads(body)
+        except ValueError as error:
+            raise ExchangeBrokenError(
+                f'"{self._url}{path}" answered status {response.status} with a body '
+                f"that is not JSON"
+            ) from error
         if response.status >= 400:
             raise RemoteError(answer)
         return answer
--- a/src/foxtailsaddle/adapters/_peer_links.py
+++ b/src/foxtailsaddle/adapters/_peer_links.py
@@ -120,13 +120,22 @@
     ) -> None:
         try:
             while (envelope := await _read_envelope(stream, math.inf)) is not None:
-                reply_channel = self._reply_channel_by_request_id.get(envelope.reply_to)
-                if reply_channel is not None:
-                    reply_channel.send_nowait(envelope.message)
+                self._deliver_reply(envelope)
         except (OSError, ValueError, trio.BrokenResourceError):
             pass
         scope.cancel()
 
+    def _deliver_reply(self, envelope: Envelope) -> None:
+        reply_channel = self._reply_channel_by_request_id.get(envelope.reply_to)
+        if reply_channel is None:
+            return
+        try:
+            reply_channel.send_nowait(envelope.message)
+        except trio.WouldBlock:
+            logger.warning(
+                "peers: second reply dropped", extra={"from": envelope.sender}
+            )
+
     async def _serve_link(self, stream: trio.SocketStream) -> None:
         """Handle one peer's messages until its link breaks or is idle too long."""
         async with stream, trio.open_nursery() as nursery:
--- a/src/foxtailsaddle/adapters/_platform_http.py
+++ b/src/foxtailsaddle/adapters/_platform_http.py
@@ -20,6 +20,7 @@
 from ..ports import HttpClient, HttpRequest, ListedInstance, Row
 
 IDLE_TIMEOUT_S = 2.0
+STATUS_NOT_FOUND = 404
 STATUS_PRECONDITION_FAILED = 412
 
 
@@ -44,14 +45,15 @@
     async def get(self, table: str, key: str) -> Row | None:
         """Return a row, or ``None``."""
         status, body = await self._get_json(f"/tables/{table}/{quote(key, safe='')}")
-        if status == 404:
+        if status == STATUS_NOT_FOUND:
             return None
         with _translate_decode_errors():
             return Row(**body)
 
     async def scan(self, table: str, after: str) -> list[Row]:
         """Return the next page of rows with a key above ``after``, in key order."""
-        _, body = await self._get_json(f"/tables/{table}?after={quote(after, safe='')}")
+        path = f"/tables/{table}?after={quote(after, safe='')}"
+        _, body = await self._get_json(path)
         with _translate_decode_errors():
             return [Row(**item) for item in body["rows"]]
 
@@ -79,7 +81,12 @@
             raise WriteOutcomeUnknownError(
                 f'row "{table}/{key}": platform answered the write with status {status}'
             )
-        return Row(**body)
+        if status >= 400:
+            raise PlatformUnavailableError(
+                f'row "{table}/{key}": platform refused the write with status {status}'
+            )
+        with _translate_decode_errors():
+            return Row(**body)
 
     async def instances(self) -> list[ListedInstance]:
         """Return the list of instances, which may be out of date."""
@@ -101,7 +108,7 @@
             status, body = await self._exchange_json("GET", path, None, {})
         except (NothingSentError, ExchangeBrokenError) as error:
             raise PlatformUnavailableError(error.message) from error
-        if status >= 500:
+        if status >= 400 and status != STATUS_NOT_FOUND:
             raise PlatformUnavailableError(
                 f'platform answered status {status} to "{path}"'
             )
--- a/src/foxtailsaddle/app/_admission.py
+++ b/src/foxtailsaddle/app/_admission.py
@@ -4,6 +4,8 @@
 decides for the whole fleet.
 """
 
+import math
+
 import trio
 
 from ..core import (
@@ -247,10 +249,13 @@
             self._env.links.tell(member, message)
 
 
-def account_allowance(policy: Policy, service_tokens_per_s: float) -> Allowance:
+def account_allowance(
+    policy: Policy, service_tokens_per_s: float = math.inf
+) -> Allowance:
     """Return the allowance of a policy.
 
-    :param service_tokens_per_s: prefill rate of the whole service.
+    :param service_tokens_per_s: prefill rate of the whole service; infinite for a
+        service whose calls are not ranked by the account's share.
     """
     return Allowance(
         requests_per_s=policy.requests_per_s,
--- a/src/foxtailsaddle/app/_idempotency_ledger.py
+++ b/src/foxtailsaddle/app/_idempotency_ledger.py
@@ -111,12 +111,19 @@
     async def get(self, account: str, service: str, key: str) -> Entry:
         """Return the ledger entry of a key.
 
+        :raises NotFoundError: no call was made with the key.
+        """
+        return (await self.get_claim(account, service, key)).entry
+
+    async def get_claim(self, account: str, service: str, key: str) -> Claim:
+        """Return the claim of an earlier call, to close it on behalf of its writer.
+
         :raises NotFoundError: no call was made with the key.
         """
         row = await self._env.platform.get(TABLE, row_key(account, service, key))
         if row is None:
             raise NotFoundError(f'idempotency key "{key}" does not exist')
-        return Entry.from_row(row.value)
+        return Claim(Entry.from_row(row.value), row.version)
 
     def _resolve_existing(self, entry: Entry, found: Entry, row: Row) -> Claim | None:
         """Decide what an existing row means for a new call.
@@ -205,7 +212,8 @@
 
     def _is_claim_open(self, row: Row, entry: Entry) -> bool:
         found = Entry.from_row(row.value)
-        return found.token == entry.token and found.state is EntryState.DISPATCHED
+        is_open = found.state in (EntryState.DISPATCHED, EntryState.UNKNOWN)
+        return found.token == entry.token and is_open
 
     async def _put(self, entry: Entry, expected_version: int) -> Row:
         key = row_key(entry.account, entry.service, entry.key)
--- a/src/foxtailsaddle/app/_operator_api.py
+++ b/src/foxtailsaddle/app/_operator_api.py
@@ -114,7 +114,7 @@
 
     async def _history(self, request: Request) -> Response:
         self._authenticate(request)
-        after = int(request.query_params.get("after", 0))
+        after = _revision_number(request.query_params.get("after", "0"))
         revisions = await self._settings_manager.history(after)
         return JSONResponse({"revisions": [_revision_body(item) for item in revisions]})
 
@@ -204,5 +204,11 @@
     return problem_response(error)
 
 
+def _revision_number(text: str) -> int:
+    if not text.isdecimal():
+        raise RequestInvalidError(f'after: not a revision number: "{text}"')
+    return int(text)
+
+
 def _revision_body(revision: Revision) -> dict[str, t.Any]:
     return dataclasses.asdict(revision)
--- a/src/foxtailsaddle/app/_plain_gateway.py
+++ b/src/foxtailsaddle/app/_plain_gateway.py
@@ -95,9 +95,7 @@
                             f'calls of service "{context.service}" run at most once '
                             f"and need an Idempotency-Key header"
                         )
-                    allowance = account_allowance(
-                        context.policy, context.policy.requests_per_s
-                    )
+                    allowance = account_allowance(context.policy)
                     await self._rate_limiter.admit(
                         context.account, context.service, 1, allowance
                     )
@@ -274,7 +272,7 @@
 
         :raises OutcomeUnknownError: the service does not know the outcome.
         """
-        recorded_entry = await self._ledger.get(
+        lost_claim = await self._ledger.get_claim(
             context.account, context.service, request.key
         )
         unknown_error = OutcomeUnknownError(
@@ -286,7 +284,7 @@
             raise unknown_error
         outcome_query = PlainCall(
             method="GET",
-            path=service.outcome_path.format(attempt=recorded_entry.token),
+            path=service.outcome_path.format(attempt=lost_claim.entry.token),
             content_type="application/json",
             body=b"",
             attempt=context.attempt,
@@ -302,9 +300,10 @@
             if answer.status == 200:
                 outcome = Outcome(**json.loads(answer.body))
                 finished_entry = dataclasses.replace(
-                    recorded_entry, state=EntryState.DONE, outcome=outcome
+                    lost_claim.entry, state=EntryState.DONE, outcome=outcome
                 )
-                return Claim(finished_entry, 0)
+                await self._ledger.close(lost_claim, finished_entry, 0.0)
+                return Claim(finished_entry, lost_claim.version)
         raise unknown_error
 
     def _make_entry(
--- a/src/foxtailsaddle/cli/_serve_platform.py
+++ b/src/foxtailsaddle/cli/_serve_platform.py
@@ -1,6 +1,5 @@
 """The serve-platform command: runs one instance on the users' platform."""
 
-import logging
 import os
 
 import trio
@@ -10,8 +9,6 @@
 
 METRICS_PORT = 9464  # must match the port in deploy/system.toml
 
-logger = logging.getLogger("foxtailsaddle.app")
-
 
 def settings_path(config: str | None) -> str:
     """Return the path of the settings file.
@@ -49,8 +46,22 @@
 def _environment(
     path: str, settings: platform.ProcessSettings, log: forward.BufferedLogHandler
 ) -> forward.FrontEnvironment:
+    return forward.FrontEnvironment(
+        settings=_front_settings(settings),
+        header_codec=platform.PlatformHeaderCodec(),
+        schema=platform.PlatformSchema(),
+        engine_control=platform.HttpEngineControl(forward.KeepAliveHttpClient),
+        new_store=lambda: platform.HttpStore(
+            forward.KeepAliveHttpClient(settings.store_address)
+        ),
+        log=log,
+        reload=lambda: _front_settings(platform.read_process_settings(path)),
+    )
+
+
+def _front_settings(settings: platform.ProcessSettings) -> forward.FrontSettings:
     bounds = settings.bounds
-    front = forward.FrontSettings(
+    return forward.FrontSettings(
         instance=settings.instance,
         data_centre=settings.data_centre,
         host=settings.host,
@@ -64,28 +75,6 @@
         retry_ratio=bounds.retry_budget_ratio,
         retry_window_s=bounds.retry_budget_window_s,
         retry_slack=bounds.retry_budget_slack,
+        drain_timeout_s=bounds.drain_timeout_s,
+        longest_reservation_s=bounds.longest_reservation_s,
     )
-    return forward.FrontEnvironment(
-        settings=front,
-        header_codec=platform.PlatformHeaderCodec(),
-        schema=platform.PlatformSchema(),
-        engine_control=platform.HttpEngineControl(forward.KeepAliveHttpClient),
-        new_store=lambda: platform.HttpStore(
-            forward.KeepAliveHttpClient(settings.store_address)
-        ),
-        log=log,
-        reload=lambda: _reload(path),
-    )
-
-
-def _reload(path: str) -> None:
-    """Validate the settings file again and log an error if it is invalid.
-
-    No value takes effect: addresses can't change while the instance runs.
-    """
-    try:
-        platform.read_process_settings(path)
-    except ProcessSettingsError as error:
-        logger.error(
-            "settings: not reloaded, the file is invalid", extra={"why": error.message}
-        )
--- a/src/foxtailsaddle/core/__init__.py
+++ b/src/foxtailsaddle/core/__init__.py
@@ -54,6 +54,8 @@
     "Quote": "._routing",
     "RecentRate": "._limits",
     "RetryBudget": "._retries",
+    "RetiredEndpoints": "._retired_endpoints",
+    "StoreVersion": "._store_version",
     "RetryWindow": "._retry_window",
     "Revision": "._revisions",
     "RevisionLog": "._revisions",
--- a/src/foxtailsaddle/core/_retry_window.py
+++ b/src/foxtailsaddle/core/_retry_window.py
@@ -21,11 +21,15 @@
     """
 
     def __init__(self, ratio: float, window_s: float, slack: float) -> None:
+        self.configure(ratio, window_s, slack)
+        self._requests_by_service: dict[ServiceId, collections.deque[float]] = {}
+        self._retries_by_service: dict[ServiceId, collections.deque[float]] = {}
+
+    def configure(self, ratio: float, window_s: float, slack: float) -> None:
+        """Change the parameters; requests and retries so far still count."""
         self._ratio = ratio * SAFETY_FACTOR
         self._window_s = window_s
         self._slack = slack * SAFETY_FACTOR
-        self._requests_by_service: dict[ServiceId, collections.deque[float]] = {}
-        self._retries_by_service: dict[ServiceId, collections.deque[float]] = {}
 
     def record_request(self, service: ServiceId, now: float) -> None:
         """Record a request from a client."""
--- a/src/foxtailsaddle/errors.py
+++ b/src/foxtailsaddle/errors.py
@@ -246,6 +246,13 @@
     status = 410
 
 
+class RequestTimeoutError(FoxtailsaddleError):
+    """The caller did not send the rest of its request in time."""
+
+    code = "request_timeout"
+    status = 408
+
+
 class HeadersTooLargeError(FoxtailsaddleError):
     """The request's headers are longer than the configuration allows."""
 
--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -11,7 +11,7 @@
 
 from .._tasks import keep_running
 from ..core import DataCentre, InstanceId, RetryWindow, TrafficLimits
-from ..errors import AddressInUseError
+from ..errors import AddressInUseError, SettingsError
 from ..ports import EngineControl, HeaderCodec, Store, StoreSchema
 from ._admission import Admission
 from ._attempt import JobIdGenerator
@@ -58,6 +58,9 @@
     :param retry_ratio: retries that each request adds to the shared retry budget.
     :param retry_window_s: length of the retry budget's sliding window, in seconds.
     :param retry_slack: retries in a window beyond those earned, for all instances.
+    :param drain_timeout_s: seconds within which an endpoint that drains stops getting
+        new requests.
+    :param longest_reservation_s: engines refuse to reserve memory for longer.
     """
 
     instance: InstanceId
@@ -73,6 +76,14 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    drain_timeout_s: float
+    longest_reservation_s: float
+
+
+# The other fields of the settings need a restart.
+RELOADABLE_FIELDS = frozenset(
+    ("seeds", "grace_s", "retry_ratio", "retry_window_s", "retry_slack")
+)
 
 
 class LogWriter(t.Protocol):
@@ -93,7 +104,8 @@
     :param schema: decodes the rows of the platform's store.
     :param engine_control: asks engines for their load and reserves their memory.
     :param new_store: opens a new connection to the platform's store.
-    :param reload: called on SIGHUP.
+    :param reload: reads the settings again on SIGHUP; raises
+        :class:`SettingsError` if they are invalid.
     """
 
     settings: FrontSettings
@@ -102,7 +114,7 @@
     engine_control: EngineControl
     new_store: t.Callable[[], Store]
     log: "LogWriter"
-    reload: t.Callable[[], None]
+    reload: t.Callable[[], FrontSettings]
     handle_signals: bool = True
 
 
@@ -115,10 +127,11 @@
     def __init__(self, env: FrontEnvironment) -> None:
         settings = env.settings
         self.env = env
-        retries = RetryWindow(
+        self._settings = settings
+        self._retries = RetryWindow(
             settings.retry_ratio, settings.retry_window_s, settings.retry_slack
         )
-        self.fleet = FleetState(settings.instance, retries)
+        self.fleet = FleetState(settings.instance, self._retries)
         self.peers = Peers(
             self.fleet,
             settings.control,
@@ -128,7 +141,12 @@
         self.fleet.notifier = self.peers
         self.fleet.count_live_instances = self.peers.count_live_instances
         self.store_sync = StoreSync(
-            self.fleet, self.peers, env.schema, env.new_store, settings.host
+            self.fleet,
+            self.peers,
+            env.schema,
+            env.new_store,
+            settings.host,
+            settings.drain_timeout_s,
         )
         self.report_poller = ReportPoller(self.fleet, self.peers, env.engine_control)
         self.metrics = ForwardMetrics()
@@ -167,12 +185,42 @@
         logger.info("app: draining")
         self._draining.set()
 
+    def reload(self) -> None:
+        """Read the settings again and apply those that need no restart."""
+        try:
+            settings = self.env.reload()
+        except SettingsError as error:
+            logger.error("app: settings not reloaded", extra={"why": error.message})
+            return
+        changed = {
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(settings, field.name) != getattr(self._settings, field.name)
+        }
+        self._settings = settings
+        self._retries.configure(
+            settings.retry_ratio, settings.retry_window_s, settings.retry_slack
+        )
+        self._add_seeds()
+        logger.info(
+            "app: reloaded",
+            extra={
+                "changed": sorted(changed & RELOADABLE_FIELDS),
+                "needs_restart": sorted(changed - RELOADABLE_FIELDS),
+            },
+        )
+
     def _build_admission(self, background: trio.Nursery) -> Admission:
         settings = self.env.settings
         job_ids = JobIdGenerator(random.SystemRandom().getrandbits(32))
         header_codec = self.env.header_codec
         crash_detector = CrashDetector(self.fleet, background)
-        reservations = Reservations(self.fleet, self.env.engine_control, background)
+        reservations = Reservations(
+            self.fleet,
+            self.env.engine_control,
+            background,
+            settings.longest_reservation_s,
+        )
         placer = StreamPlacer(self.fleet, settings.data_centre)
         slot_queues = SlotQueues(placer, background)
         return Admission(
@@ -192,17 +240,16 @@
         )
 
     def _add_seeds(self) -> None:
-        for seed in self.env.settings.seeds:
+        for seed in self._settings.seeds:
             self.peers.add_seed(seed.rpartition(":")[0])
 
     async def _handle_signals(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    self.env.reload()
-                    logger.info("app: reloaded")
-                    continue
-                self.drain()
+                    self.reload()
+                else:
+                    self.drain()
 
     async def _accept(self, nursery: trio.Nursery, admission: Admission) -> None:
         sock = await listen(self.env.settings.front)
@@ -255,7 +302,7 @@
     async def _drain(self) -> None:
         """Wait until no request is in flight or the grace period is nearly over."""
         self.peers.announce_leaving()
-        deadline_at = trio.current_time() + self.env.settings.grace_s - GRACE_MARGIN_S
+        deadline_at = trio.current_time() + self._settings.grace_s - GRACE_MARGIN_S
         await trio.sleep(ACCEPT_WHILE_DRAINING_S)
         self._accepts_requests = False
         while trio.current_time() < deadline_at:
@@ -286,7 +333,11 @@
         return Page(200)
 
     def _snapshot_page(self) -> Page:
-        snapshot = Snapshot(self.fleet.configuration_row, self.fleet.endpoint_rows)
+        snapshot = Snapshot(
+            self.fleet.configuration_row,
+            self.fleet.endpoint_rows,
+            self.peers.list_version,
+        )
         return Page(200, encode_snapshot(snapshot), b"application/octet-stream")
 
     def _metrics_page(self) -> Page:
@@ -295,5 +346,6 @@
         self.metrics.set("live_instances", self.peers.count_live_instances())
         self.metrics.set("jobs", len(self.fleet.engine_loads))
         self.metrics.set("connections", len(self._connections))
+        self.metrics.set("dropped_updates", self.peers.dropped_updates)
         body, content_type = self.metrics.render()
         return Page(200, body, content_type)
--- a/src/foxtailsaddle/forward/_connection.py
+++ b/src/foxtailsaddle/forward/_connection.py
@@ -17,6 +17,7 @@
     HeadersTooLargeError,
     NotReadyError,
     RequestInvalidError,
+    RequestTimeoutError,
 )
 from ..ports import HeaderCodec, Headers
 from ._admission import Admission
@@ -158,9 +159,14 @@
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            data = b""
-            with trio.move_on_after(timeout_s):
+            with trio.move_on_after(timeout_s) as timeout:
                 data = await self._sock.recv(RECEIVE_BYTES)
+            if timeout.cancelled_caught:
+                if self.is_idle:
+                    return None
+                raise RequestTimeoutError(
+                    "the headers were not complete within the allowed time"
+                )
             if not data:
                 return None
             if self.is_idle:
@@ -190,13 +196,14 @@
                         f"the body is larger than {limits.body_bytes} bytes"
                     )
                 continue
-            data = b""
-            with trio.move_on_after(limits.idle_timeout_s):
+            with trio.move_on_after(limits.idle_timeout_s) as timeout:
                 data = await self._sock.recv(RECEIVE_BYTES)
-            if not data:
-                raise CallerGoneError(
-                    "the client sent no further bytes before the body was complete"
+            if timeout.cancelled_caught:
+                raise RequestTimeoutError(
+                    "the body was not complete within the allowed time"
                 )
+            if not data:
+                raise CallerGoneError("the client closed before the body was complete")
             self._http.receive_data(data)
 
     async def _handle_request(self, request: h11.Request, body: bytes) -> None:
--- a/src/foxtailsaddle/forward/_datagrams.py
+++ b/src/foxtailsaddle/forward/_datagrams.py
@@ -6,11 +6,20 @@
 
 import capnp
 
-from ..core import AttemptOutcome, EndpointId, InstanceId, Job, JobId
+from ..core import (
+    AttemptOutcome,
+    EndpointId,
+    InstanceId,
+    Job,
+    JobId,
+    StoreVersion,
+)
 from ..ports import StoredRow
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("notes.capnp")))
 
+NO_VERSION = StoreVersion(0, 0)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobPlaced:
@@ -70,11 +79,11 @@
 class ListChanged:
     """An entry of the list of endpoints has changed.
 
-    :param after: version of the change before this one.
+    :param after: version of the change before this one, of the same era as the row.
     :param row: the entry as it is stored.
     """
 
-    after: int
+    after: StoreVersion
     row: StoredRow
 
 
@@ -101,7 +110,7 @@
     configuration_version: int
     leaving: bool
     reads_store: bool = False
-    list_version: int = 0
+    list_version: StoreVersion = NO_VERSION
     wants_reply: bool = False
 
 
@@ -111,10 +120,12 @@
 
     :param configuration_row: the configuration in force; empty before the first one.
     :param endpoint_rows: the list of endpoints, by key.
+    :param list_version: version of the last change of the list that it contains.
     """
 
     configuration_row: bytes
     endpoint_rows: dict[str, bytes]
+    list_version: StoreVersion = NO_VERSION
 
 
 def encode(header: DatagramHeader, updates: t.Sequence[Update]) -> bytes:
@@ -126,7 +137,8 @@
     builder.configuration = header.configuration_version
     builder.leaving = header.leaving
     builder.reads = header.reads_store
-    builder.listVersion = header.list_version
+    builder.listVersion = header.list_version.number
+    builder.listEra = header.list_version.era
     builder.greeting = header.wants_reply
     items = builder.init("notes", len(updates))
     for index, update in enumerate(updates):
@@ -149,7 +161,7 @@
             configuration_version=reader.configuration,
             leaving=reader.leaving,
             reads_store=reader.reads,
-            list_version=reader.listVersion,
+            list_version=StoreVersion(reader.listEra, reader.listVersion),
             wants_reply=reader.greeting,
         )
         updates = [
@@ -164,6 +176,8 @@
     """Return the bytes of a snapshot."""
     builder = _SCHEMA.Snapshot.new_message()
     builder.configurationRow = snapshot.configuration_row
+    builder.listVersion = snapshot.list_version.number
+    builder.listEra = snapshot.list_version.era
     items = builder.init("endpoints", len(snapshot.endpoint_rows))
     for index, (key, value) in enumerate(snapshot.endpoint_rows.items()):
         items[index].key = key
@@ -179,7 +193,8 @@
     try:
         reader = _SCHEMA.Snapshot.from_bytes_packed(data)
         endpoint_rows = {item.key: bytes(item.value) for item in reader.endpoints}
-        return Snapshot(bytes(reader.configurationRow), endpoint_rows)
+        list_version = StoreVersion(reader.listEra, reader.listVersion)
+        return Snapshot(bytes(reader.configurationRow), endpoint_rows, list_version)
     except (capnp.KjException, ValueError) as error:
         raise ValueError(f"snapshot can't be read: {error}") from error
 
@@ -266,8 +281,9 @@
 
 def _write_listed(item: t.Any, update: ListChanged) -> None:
     builder = item.init("listed")
-    builder.after = update.after
-    builder.version = update.row.version
+    builder.era = update.row.version.era
+    builder.after = update.after.number
+    builder.version = update.row.version.number
     builder.key = update.row.key
     builder.value = update.row.value
     builder.removed = update.row.removed
@@ -275,8 +291,9 @@
 
 def _read_listed(_: InstanceId, item: t.Any) -> ListChanged:
     reader = item.listed
-    row = StoredRow(reader.key, bytes(reader.value), reader.version, reader.removed)
-    return ListChanged(reader.after, row)
+    version = StoreVersion(reader.era, reader.version)
+    row = StoredRow(reader.key, bytes(reader.value), version, reader.removed)
+    return ListChanged(StoreVersion(reader.era, reader.after), row)
 
 
 _WRITER_BY_TYPE: dict[type, t.Callable[[t.Any, t.Any], None]] = {
--- a/src/foxtailsaddle/forward/_exchange.py
+++ b/src/foxtailsaddle/forward/_exchange.py
@@ -161,4 +161,5 @@
             headers.append((b"content-type", b"application/json"))
         await exchange.send(method, target, headers, body)
         head = await exchange.receive_head()
-        return HttpReply(head.status_code, await exchange.receive_body())
+        body = await exchange.receive_body()
+        return HttpReply(head.status_code, body, list(head.headers))
--- a/src/foxtailsaddle/forward/_peers.py
+++ b/src/foxtailsaddle/forward/_peers.py
@@ -8,8 +8,16 @@
 
 import trio
 
-from ..core import AttemptOutcome, EndpointId, InstanceId, Job, JobId
+from ..core import (
+    AttemptOutcome,
+    EndpointId,
+    InstanceId,
+    Job,
+    JobId,
+    StoreVersion,
+)
 from ._datagrams import (
+    NO_VERSION,
     DatagramHeader,
     EndpointDied,
     JobBegan,
@@ -64,7 +72,7 @@
     configuration_version: int = 0
     leaving: bool = False
     reads_store: bool = False
-    list_version: int = 0
+    list_version: StoreVersion = NO_VERSION
     added_at: float = 0.0
 
 
@@ -74,6 +82,7 @@
     :param control_address: this instance's address for snapshots.
     :param host: this instance's address for datagrams.
     :param port: UDP port for datagrams, the same on all instances.
+    :ivar dropped_updates: updates that were not sent, since too many were waiting.
     :ivar on_list_changed: called with each change of the list that a peer sends.
     :ivar on_datagram_received: called with the sender of each datagram, before the
         updates in it are applied.
@@ -92,9 +101,11 @@
         self._updates_pending = trio.Event()
         self._sock: trio.socket.SocketType | None = None
         self._last_broadcast_at = 0.0
+        self._is_dropping = False
+        self.dropped_updates = 0
         self.leaving = False
         self.reads_store = False
-        self.list_version = 0
+        self.list_version = NO_VERSION
         self.on_list_changed: t.Callable[[ListChanged], None] = lambda _: None
         self.on_datagram_received: t.Callable[[Peer], None] = lambda _: None
 
@@ -198,8 +209,17 @@
         self._broadcast([])
 
     def _queue_update(self, update: Update) -> None:
-        if len(self._pending) < MAX_PENDING_UPDATES:
+        is_full = len(self._pending) >= MAX_PENDING_UPDATES
+        if is_full:
+            self.dropped_updates += 1
+        else:
             self._pending.append(update)
+        if is_full and not self._is_dropping:
+            logger.warning(
+                "peers: too many updates are waiting, some are not sent",
+                extra={"waiting": len(self._pending)},
+            )
+        self._is_dropping = is_full
         self._updates_pending.set()
 
     async def _send_updates(self) -> None:
--- a/src/foxtailsaddle/forward/_reservations.py
+++ b/src/foxtailsaddle/forward/_reservations.py
@@ -15,7 +15,7 @@
 logger = logging.getLogger("foxtailsaddle.memory")
 
 LEASE_S = 3.0
-RENEW_INTERVAL_S = 1.0
+RENEWALS_PER_LEASE = 3
 # An unconfirmed reservation may still take effect as late as the last of these.
 REPEATED_RELEASES_AT_S = (2.5, 5.0, 8.0, 12.5)
 
@@ -40,11 +40,18 @@
     that reserved it has crashed.
 
     :param nursery: runs the releases, which continue after a request has ended.
+    :param longest_s: engines refuse a longer lease, in seconds.
+    :ivar lease_s: term of a lease, in seconds.
     """
 
     def __init__(
-        self, fleet: FleetState, engine_control: EngineControl, nursery: trio.Nursery
+        self,
+        fleet: FleetState,
+        engine_control: EngineControl,
+        nursery: trio.Nursery,
+        longest_s: float = LEASE_S,
     ) -> None:
+        self.lease_s = min(LEASE_S, longest_s)
         self._fleet = fleet
         self._engine_control = engine_control
         self._nursery = nursery
@@ -120,7 +127,7 @@
     async def renew(self) -> None:
         """Renew the lease until cancelled."""
         while True:
-            await trio.sleep(RENEW_INTERVAL_S)
+            await trio.sleep(self._reservations.lease_s / RENEWALS_PER_LEASE)
             for endpoint in self._job.reserved_by_endpoint:
                 with contextlib.suppress(NothingSentError):
                     await self._reserve(endpoint)
@@ -130,7 +137,7 @@
         tokens = self._job.reserved_by_endpoint[endpoint]
         try:
             was_reserved = await self._reservations.engine_control.reserve(
-                address, self._id, tokens, LEASE_S
+                address, self._id, tokens, self._reservations.lease_s
             )
         except FoxtailsaddleError as error:
             self._unconfirmed.add(endpoint)
--- a/src/foxtailsaddle/forward/_store_sync.py
+++ b/src/foxtailsaddle/forward/_store_sync.py
@@ -8,34 +8,36 @@
 
 from ..core import (
     EndpointId,
-    InstanceId,
+    ListedEndpoint,
+    RetiredEndpoints,
+    StoreVersion,
     is_first_reader,
     retry_pause_s,
     should_read,
 )
 from ..errors import FoxtailsaddleError, SettingsError
 from ..ports import Store, StoredRow, StoredRows, StoreSchema
-from ._datagrams import ListChanged, decode_snapshot
+from ._datagrams import ListChanged, Snapshot, decode_snapshot
 from ._exchange import KeepAliveHttpClient
 from ._fleet import FleetState
 from ._peers import Peer, Peers
+from ._registration import InstanceRegistration
 from ._table_follower import TableFollower
 
 logger = logging.getLogger("foxtailsaddle.store")
 
-REGISTER_RETRY_S = 1.0
 # Pauses after a read that returned changes; each call to the store is charged.
 CONFIGURATION_FEED_PAUSE_S = 0.1
 LIST_FEED_PAUSE_S = 0.4
+MAX_LIST_FEED_PAUSE = 0.2  # of the drain timeout
 CLEANUP_INTERVAL_S = 0.25
 CONFIGURATION_LAG_S = 0.3  # for a read of the store, before a peer is asked
 LIST_LAG_S = 0.9  # longer than the pauses between a reader's calls
+MAX_LIST_LAG = 0.45  # of the drain timeout
 CATCH_UP_JITTER_S = 0.05
 SNAPSHOT_TIMEOUT_S = 1.0
 SNAPSHOT_INTERVAL_S = 0.7
 SNAPSHOT_PATH = "/snapshot"
-LEASE_RENEW_INTERVAL_S = 30.0
-INSTANCE_LEASE_MS = 100_000
 
 
 class StoreSync:
@@ -46,6 +48,8 @@
 
     :param new_store: opens a new connection to the store.
     :param host: address of this instance, for its row in the store.
+    :param drain_timeout_s: seconds within which all instances must know of an endpoint
+        that drains.
     """
 
     def __init__(
@@ -55,13 +59,16 @@
         schema: StoreSchema,
         new_store: t.Callable[[], Store],
         host: str,
+        drain_timeout_s: float,
     ) -> None:
+        self._list_lag_s = min(LIST_LAG_S, MAX_LIST_LAG * drain_timeout_s)
         self._fleet = fleet
         self._peers = peers
         self._schema = schema
         self._new_store = new_store
-        self._host = host
         self._was_connected = False
+        self._era: int | None = None
+        self._retired = RetiredEndpoints()
         self._list_behind_since: float | None = None
         self._newer_configuration = trio.Event()
         self.configuration_follower = self._new_follower(
@@ -71,10 +78,19 @@
         )
         self.list_follower = self._new_follower(
             schema.endpoint_table,
-            LIST_FEED_PAUSE_S,
+            min(LIST_FEED_PAUSE_S, MAX_LIST_FEED_PAUSE * drain_timeout_s),
             self._apply_list_rows,
             self._record_reconnect,
         )
+        self._registration = InstanceRegistration(
+            new_store(),
+            schema.instance_table,
+            fleet.instance,
+            host,
+            peers.add,
+            self._accept_version,
+            self._retry_pause_s,
+        )
         peers.on_list_changed = self._apply_list_change
         peers.on_datagram_received = self._check_peer_versions
 
@@ -83,7 +99,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.configuration_follower.run)
             nursery.start_soon(self.list_follower.run)
-            nursery.start_soon(self._register)
+            nursery.start_soon(self._registration.run)
             nursery.start_soon(self._run_cleanup)
             nursery.start_soon(self._catch_up_configuration)
             nursery.start_soon(self._copy_list_while_disconnected)
@@ -100,6 +116,7 @@
             table,
             pause_s,
             on_rows,
+            self._accept_version,
             self._others_read_store,
             self._retry_pause_s,
             on_connected,
@@ -119,6 +136,28 @@
         others = [peer.id for peer in self._peers.live()]
         return retry_pause_s(self._fleet.instance, others, pause_s)
 
+    # Restored store.
+
+    def _accept_version(self, version: StoreVersion) -> bool:
+        """Return whether a version is of the store's present era, or of a newer one.
+
+        A newer era means that the store was restored from a backup. What was read
+        before it is read again, and this instance's row is written again.
+        """
+        if self._era is None:
+            self._era = version.era
+        if version.era > self._era:
+            self._begin_era(version.era)
+        return version.era == self._era
+
+    def _begin_era(self, era: int) -> None:
+        logger.warning("store: restored", extra={"era": era, "previous": self._era})
+        self._era = era
+        self._fleet.endpoints.record_store_reconnect(trio.current_time())
+        self.configuration_follower.request_full_read()
+        self.list_follower.request_full_read()
+        self._registration.request_renewal()
+
     # Configuration.
 
     def _apply_configuration_rows(self, rows: StoredRows, is_full: bool) -> None:
@@ -147,6 +186,8 @@
 
     def _check_peer_versions(self, peer: Peer) -> None:
         """Schedule a read if a peer has a later configuration or list."""
+        if peer.list_version.number:
+            self._accept_version(peer.list_version)
         table = self._fleet.route_table
         if peer.configuration_version > (table.version if table else 0):
             self._newer_configuration.set()
@@ -195,7 +236,7 @@
         :param is_full: the rows are the whole table, not only its changes.
         """
         if is_full:
-            self._replace_list({row.key: row.value for row in rows.rows})
+            self._replace_list(rows.rows, rows.version)
         is_sender = self._peers.reads_store and self._is_first_reader()
         for row in () if is_full else rows.rows:
             if is_sender and row.version > self._peers.list_version:
@@ -203,14 +244,19 @@
                     ListChanged(self._peers.list_version, row)
                 )
             self._apply_list_row(row)
-        known_versions = [row.version for row in rows.rows]
+        known_versions = [
+            row.version for row in rows.rows if row.version <= rows.version
+        ]
         # These rows include all changes up to their version, so this instance also
         # has every change that a reader knows of up to that version.
         peer_versions = [peer.list_version for peer in self._peers.store_readers()]
         known_versions += [
             version for version in peer_versions if version <= rows.version
         ]
-        self._peers.list_version = max([self._peers.list_version, *known_versions])
+        first_of_era = StoreVersion(rows.version.era, 0)
+        self._peers.list_version = max(
+            [self._peers.list_version, first_of_era, *known_versions]
+        )
         self._list_behind_since = None
 
     def _apply_list_change(self, change: ListChanged) -> None:
@@ -234,7 +280,7 @@
             self._fleet.endpoint_rows.pop(row.key, None)
         else:
             self._fleet.endpoint_rows[row.key] = row.value
-            entry = self._schema.decode_endpoint(row.key, row.value)
+            entry = self._decode_endpoint(row, is_restored=False)
         previous = self._fleet.endpoints.get(endpoint)
         if entry is None:
             self._fleet.endpoints.remove(endpoint, now)
@@ -246,28 +292,48 @@
                 extra={
                     "endpoint": endpoint,
                     "state": entry.state.value if entry else "gone",
-                    "version": row.version,
+                    "version": row.version.number,
+                    "era": row.version.era,
                 },
             )
         self._forget_expired(now)
 
-    def _replace_list(self, values: dict[str, bytes]) -> None:
-        self._fleet.endpoint_rows = dict(values)
-        decoded = [
-            self._schema.decode_endpoint(key, value) for key, value in values.items()
-        ]
+    def _replace_list(self, rows: list[StoredRow], version: StoreVersion) -> None:
+        """Replace the list by the rows of a full read.
+
+        :param version: version of the list as a whole.
+        """
+        is_restored = version.era > self._peers.list_version.era
+        self._fleet.endpoint_rows = {row.key: row.value for row in rows}
+        decoded = [self._decode_endpoint(row, is_restored) for row in rows]
         entries = [entry for entry in decoded if entry is not None]
         self._fleet.endpoints.replace(entries, trio.current_time())
         self._forget_expired(trio.current_time())
-        logger.info("list: read", extra={"endpoints": len(entries)})
+        logger.info(
+            "list: read",
+            extra={
+                "endpoints": len(entries),
+                "version": version.number,
+                "era": version.era,
+            },
+        )
+
+    def _decode_endpoint(
+        self, row: StoredRow, is_restored: bool
+    ) -> ListedEndpoint | None:
+        entry = self._schema.decode_endpoint(row.key, row.value)
+        if entry is None:
+            return None
+        return self._retired.correct(entry, row.version, is_restored)
 
     def _forget_expired(self, now: float) -> None:
         for endpoint in self._fleet.endpoints.expire(now):
+            self._retired.retire(endpoint)
             self._fleet.engine_loads.forget(endpoint, now)
             self._fleet.health.forget(endpoint)
             logger.info("list: gone", extra={"endpoint": endpoint})
 
-    # Cleanup, snapshots and registration.
+    # Cleanup and snapshots.
 
     async def _run_cleanup(self) -> None:
         """Drop expired endpoints, update the reader role, catch up on the list."""
@@ -282,7 +348,7 @@
             self._peers.reads_store = not (is_disconnected or self._others_read_store())
             if self._list_behind_since is None:
                 continue
-            if now - self._list_behind_since > LIST_LAG_S:
+            if now - self._list_behind_since > self._list_lag_s:
                 self._list_behind_since = None
                 self.list_follower.request_read()
 
@@ -314,41 +380,21 @@
         if snapshot.configuration_row:
             self._apply_configuration(snapshot.configuration_row, control_address)
         if with_list and self.list_follower.is_disconnected and snapshot.endpoint_rows:
-            self._replace_list(snapshot.endpoint_rows)
-            self.list_follower.request_full_read()
-
-    async def _register(self) -> None:
-        """Keep this instance's row in the store and discover the other instances."""
-        store = self._new_store()
-        table = self._schema.instance_table
-        is_new = True
-        while True:
-            try:
-                rows = await store.read(table)
-                stale_keys = self._add_live_instances(rows)
-                puts = {self._fleet.instance: f"{self._host} {rows.now_ms}".encode()}
-                await store.write(table, puts, stale_keys)
-                if is_new:
-                    # Of two instances that start together, the one that writes later
-                    # sees both rows.
-                    self._add_live_instances(await store.read(table))
-                    is_new = False
-            except FoxtailsaddleError as error:
-                logger.info("store: not registered", extra={"why": error.message})
-                await trio.sleep(self._retry_pause_s(REGISTER_RETRY_S))
-                continue
-            await trio.sleep(LEASE_RENEW_INTERVAL_S)
+            self._apply_snapshot_list(snapshot)
 
-    def _add_live_instances(self, rows: StoredRows) -> list[str]:
-        """Add the instances whose lease is valid; return the keys of expired rows."""
-        stale_keys = []
-        for row in rows.rows:
-            host, _, renewed_ms = row.value.decode("latin-1").partition(" ")
-            if (
-                not renewed_ms.isdecimal()
-                or rows.now_ms - int(renewed_ms) > INSTANCE_LEASE_MS
-            ):
-                stale_keys.append(row.key)
-            else:
-                self._peers.add(InstanceId(row.key), host)
-        return [key for key in stale_keys if key != self._fleet.instance]
+    def _apply_snapshot_list(self, snapshot: Snapshot) -> None:
+        """Apply another instance's list, unless this instance has a later one."""
+        version = snapshot.list_version
+        if version < self._peers.list_version or not self._accept_version(version):
+            logger.info(
+                "peers: outdated list ignored",
+                extra={"version": version.number, "era": version.era},
+            )
+            return
+        rows = [
+            StoredRow(key, value, version)
+            for key, value in snapshot.endpoint_rows.items()
+        ]
+        self._replace_list(rows, version)
+        self._peers.list_version = version
+        self.list_follower.request_full_read()
--- a/src/foxtailsaddle/forward/_table_follower.py
+++ b/src/foxtailsaddle/forward/_table_follower.py
@@ -5,7 +5,12 @@
 
 import trio
 
-from ..errors import FoxtailsaddleError, HistoryGoneError
+from ..core import StoreVersion
+from ..errors import (
+    FoxtailsaddleError,
+    HistoryGoneError,
+    PlatformUnavailableError,
+)
 from ..ports import Store, StoredRows
 
 logger = logging.getLogger("foxtailsaddle.store")
@@ -22,6 +27,8 @@
 
     :param pause_s: shortest time between two calls, in seconds; each call is charged.
     :param on_rows: called with rows, and whether they are the whole table.
+    :param accept_version: called with the version of each answer; returns false for a
+        late answer from an era before the store's present one.
     :param others_read_store: returns whether enough other instances read the store, so
         that this one need not.
     :param retry_pause_s: returns the pause after a failure, scaled by this instance's
@@ -37,6 +44,7 @@
         table: str,
         pause_s: float,
         on_rows: t.Callable[[StoredRows, bool], None],
+        accept_version: t.Callable[[StoreVersion], bool],
         others_read_store: t.Callable[[], bool],
         retry_pause_s: t.Callable[[float], float],
         on_connected: t.Callable[[], None] = lambda: None,
@@ -45,13 +53,14 @@
         self._table = table
         self._pause_s = pause_s
         self._on_rows = on_rows
+        self._accept_version = accept_version
         self._others_read_store = others_read_store
         self._retry_pause_s = retry_pause_s
         self._on_connected = on_connected
         self._failure_pause_s = RETRY_PAUSE_S
         self._is_read_requested = False
         self.is_disconnected = True
-        self.version: int | None = None
+        self.version: StoreVersion | None = None
 
     def request_read(self) -> None:
         """Request the changes once, although other instances read the store.
@@ -89,7 +98,14 @@
             rows = await self._store.read(self._table)
         else:
             rows = await self._store.changes(self._table, self.version, wait_s)
+        if not self._accept_version(rows.version):
+            raise PlatformUnavailableError(
+                f'a late answer about table "{self._table}", from before the store '
+                f"was restored"
+            )
         self._handle_success()
+        if self.version is None and not is_full:
+            return  # a full read was requested meanwhile
         self.version = rows.version
         self._on_rows(rows, is_full)
         await trio.sleep(self._pause_s if rows.rows else 0)
--- a/src/foxtailsaddle/forward/notes.capnp
+++ b/src/foxtailsaddle/forward/notes.capnp
@@ -12,6 +12,7 @@
   notes @6 :List(Note);
   reads @7 :Bool;
   listVersion @8 :UInt64;
+  listEra @9 :UInt32;
 }
 
 struct Note {
@@ -61,6 +62,7 @@
   key @2 :Text;
   value @3 :Data;
   removed @4 :Bool;
+  era @5 :UInt32;  # of both versions
 }
 
 struct Death {
@@ -71,6 +73,8 @@
 struct Snapshot {
   configurationRow @0 :Data;
   endpoints @1 :List(Entry);
+  listVersion @2 :UInt64;
+  listEra @3 :UInt32;
 }
 
 struct Entry {
--- a/src/foxtailsaddle/platform/_names.py
+++ b/src/foxtailsaddle/platform/_names.py
@@ -18,6 +18,7 @@
 LENGTH_HINT = b"x-length-hint"
 AUTHORIZATION = b"authorization"
 FAILED_ENDPOINT = b"at-server"
+STORE_ERA = b"store-era"
 AUTHORIZATION_SCHEME = "token"
 
 SETTINGS_PATH_VARIABLE = "FOXTAILSADDLE_BOOT"
--- a/src/foxtailsaddle/platform/_settings.py
+++ b/src/foxtailsaddle/platform/_settings.py
@@ -21,8 +21,8 @@
         and retries are counted, in seconds.
     :param retry_budget_slack: retries allowed in a window in addition, for all
         instances together.
-    :param hold_max_ms: not used.
-    :param idle_max_ms: not used.
+    :param longest_reservation_s: engines refuse to reserve memory for longer, in
+        seconds.
     """
 
     drain_timeout_s: float
@@ -30,8 +30,7 @@
     retry_budget_ratio: float
     retry_budget_window_s: float
     retry_budget_slack: float
-    hold_max_ms: int = 0
-    idle_max_ms: int = 0
+    longest_reservation_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,7 +57,6 @@
     seed_addresses: tuple[str, ...]
     peer_port: int
     store_address: str
-    max_open_files: int
     bounds: DeploymentBounds
 
 
@@ -84,7 +82,6 @@
         seed_addresses=tuple(reader.strings("seeds")),
         peer_port=reader.first_port("internal_port_range"),
         store_address=reader.address("platform.address"),
-        max_open_files=int(reader.number("limits.max_open_files", default=1024)),
         bounds=_bounds(reader),
     )
 
@@ -96,8 +93,8 @@
         retry_budget_ratio=reader.number("bounds.retry_budget_ratio", default=0.2),
         retry_budget_window_s=reader.number("bounds.budget_window_s", default=10),
         retry_budget_slack=reader.number("bounds.budget_slack", default=0),
-        hold_max_ms=int(reader.number("bounds.hold_max_ms", default=0)),
-        idle_max_ms=int(reader.number("bounds.idle_max_ms", default=0)),
+        longest_reservation_s=reader.number("bounds.hold_max_ms", default=20_000)
+        / 1000,
     )
 
 
--- a/src/foxtailsaddle/platform/_store.py
+++ b/src/foxtailsaddle/platform/_store.py
@@ -1,10 +1,12 @@
 """Client of the platform's store: reads, writes and the feed of changes."""
 
 import base64
+import dataclasses
 import json
 import typing as t
 import urllib.parse
 
+from ..core import StoreVersion
 from ..errors import (
     ExchangeBrokenError,
     HistoryGoneError,
@@ -27,40 +29,49 @@
         self._client = client
 
     async def read(self, table: str) -> StoredRows:
-        """Return all rows of a table, page by page."""
-        rows: list[StoredRow] = []
+        """Return all rows of a table, page by page.
+
+        The result has the version of the first page: a change that a later page
+        already shows is then returned by :meth:`changes` once more, and one that an
+        earlier page missed is not lost.
+        """
         query = {"table": table, "part": ""}
-        while True:
-            reply = await self._get(names.ROWS_GET_PATH, query, CALL_TIMEOUT_S)
-            page = _decode_json(reply)
-            rows += [_decode_row(item) for item in page["rows"]]
-            if not page.get("more_pages"):
-                return StoredRows(rows, page["ver"], page["now_ms"])
+        first = page = await self._read_page(query)
+        rows = list(first.rows)
+        while page.has_more:
             query["from"] = rows[-1].key + "\0"
-
-    async def changes(self, table: str, after: int, wait_s: float) -> StoredRows:
+            page = await self._read_page(query)
+            if page.version.era != first.version.era:
+                raise PlatformUnavailableError(
+                    f'the store was restored while table "{table}" was read'
+                )
+            rows += page.rows
+        return StoredRows(rows, first.version, page.now_ms)
+
+    async def changes(
+        self, table: str, after: StoreVersion, wait_s: float
+    ) -> StoredRows:
         """Return the changes of a table after a version.
 
         Wait up to ``wait_s`` seconds for the first one.
 
         :raises HistoryGoneError: the store no longer has the changes.
         """
-        query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
+        query = {"table": table, "after": after.number, "wait_ms": int(wait_s * 1000)}
         reply = await self._get(
             names.ROWS_FEED_PATH, query, wait_s + FEED_REPLY_MARGIN_S
         )
         if reply.status == STATUS_GONE:
             raise HistoryGoneError(
                 f'the store no longer has the changes of table "{table}" '
-                f"after version {after}"
+                f"after version {after.number} of era {after.era}"
             )
-        page = _decode_json(reply)
-        rows = [_decode_row(item) for item in page["rows"]]
-        return StoredRows(rows, page["ver"], page["now_ms"])
+        page = _decode_page(reply)
+        return StoredRows(page.rows, page.version, page.now_ms)
 
     async def write(
         self, table: str, value_by_key: dict[str, bytes], deleted_keys: list[str]
-    ) -> int:
+    ) -> StoreVersion:
         """Write and delete rows of a table in one transaction."""
         body = {
             "expected_revision": [],
@@ -78,12 +89,16 @@
             raise PlatformUnavailableError(error.message) from error
         except ExchangeBrokenError as error:
             raise WriteOutcomeUnknownError(error.message) from error
-        return _decode_json(reply)["ver"]
+        return StoreVersion(_decode_era(reply), _decode_json(reply)["ver"])
 
     async def aclose(self) -> None:
         """Close the connection."""
         await self._client.aclose()
 
+    async def _read_page(self, query: dict[str, t.Any]) -> "_Page":
+        reply = await self._get(names.ROWS_GET_PATH, query, CALL_TIMEOUT_S)
+        return _decode_page(reply)
+
     async def _get(
         self, path: str, query: dict[str, t.Any], timeout_s: float
     ) -> HttpReply:
@@ -109,7 +124,52 @@
         ) from error
 
 
-def _decode_row(item: dict[str, t.Any]) -> StoredRow:
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Page:
+    """One page of rows.
+
+    :param has_more: there are rows after the last one of this page.
+    """
+
+    rows: list[StoredRow]
+    version: StoreVersion
+    now_ms: int
+    has_more: bool
+
+
+def _decode_page(reply: HttpReply) -> _Page:
+    """Decode rows.
+
+    :raises PlatformUnavailableError: the reply has no rows, or malformed ones.
+    """
+    fields = _decode_json(reply)
+    era = _decode_era(reply)
+    try:
+        return _Page(
+            rows=[_decode_row(item, era) for item in fields["rows"]],
+            version=StoreVersion(era, int(fields["ver"])),
+            now_ms=int(fields["now_ms"]),
+            has_more=bool(fields.get("more_pages")),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise PlatformUnavailableError(
+            f"the store's answer has malformed rows: {error!r}"
+        ) from error
+
+
+def _decode_era(reply: HttpReply) -> int:
+    """Return the era of the store; 0 if the reply does not name one."""
+    value = dict(reply.headers).get(names.STORE_ERA, b"0")
+    try:
+        return int(value)
+    except ValueError as error:
+        raise PlatformUnavailableError(
+            f"the store's answer has a malformed era: {value!r}"
+        ) from error
+
+
+def _decode_row(item: dict[str, t.Any], era: int) -> StoredRow:
     removed = bool(item.get("removed"))
     value = b"" if removed else base64.b64decode(item["value"])
-    return StoredRow(item["key"], value, item["ver"], removed)
+    version = StoreVersion(era, int(item["ver"]))
+    return StoredRow(item["key"], value, version, removed)
--- a/src/foxtailsaddle/ports/_front.py
+++ b/src/foxtailsaddle/ports/_front.py
@@ -6,7 +6,7 @@
 import dataclasses
 import typing as t
 
-from ..core import AccountId, EndpointId, ListedEndpoint, RouteTable
+from ..core import AccountId, EndpointId, ListedEndpoint, RouteTable, StoreVersion
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -106,7 +106,7 @@
 
     key: str
     value: bytes
-    version: int
+    version: StoreVersion
     removed: bool = False
 
 
@@ -118,7 +118,7 @@
     """
 
     rows: list[StoredRow]
-    version: int
+    version: StoreVersion
     now_ms: int
 
 
@@ -132,7 +132,9 @@
     async def read(self, table: str) -> StoredRows:
         """Return all rows of a table."""
 
-    async def changes(self, table: str, after: int, wait_s: float) -> StoredRows:
+    async def changes(
+        self, table: str, after: StoreVersion, wait_s: float
+    ) -> StoredRows:
         """Return the changes after a version, waiting up to ``wait_s`` for one.
 
         :raises HistoryGoneError: the store no longer has these changes.
@@ -140,7 +142,7 @@
 
     async def write(
         self, table: str, value_by_key: dict[str, bytes], deleted_keys: list[str]
-    ) -> int:
+    ) -> StoreVersion:
         """Write and delete rows in one transaction; return the store's new version."""
 
     async def aclose(self) -> None:
@@ -167,10 +169,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpReply:
-    """Status and complete body of an HTTP response."""
+    """Status, complete body and headers of an HTTP response.
+
+    :param headers: names are in lower case.
+    """
 
     status: int
     body: bytes
+    headers: Headers = dataclasses.field(default_factory=list)
 
 
 class PersistentHttpClient(t.Protocol):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -14,25 +14,15 @@
 
 import yaml
 
+from .ports import HOST, PortReservation
+
 CALLER_KEY = "demo-caller-key"
 OPERATOR_KEY = "demo-operator-key"
-HOST = "127.0.0.1"
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 20.0
 DATA_CENTRES = ("riga-1", "riga-2", "riga-3")
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ``count`` TCP ports that are free at present."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 def sha256(text: str) -> str:
     """Return the hash by which the settings identify a key."""
     return hashlib.sha256(text.encode()).hexdigest()
@@ -89,7 +79,10 @@
         self._binary = list(binary)
         self._instance_overrides = instance or {}
         self._tree_overrides = tree or {}
-        ports = iter(free_ports(1 + engines + plain_services + 3 * instances))
+        self._reservation = PortReservation(
+            1 + engines + plain_services + 3 * instances
+        )
+        ports = iter(self._reservation.ports)
         self.platform_port = next(ports)
         self.engine_ports = {f"e{i + 1}": next(ports) for i in range(engines)}
         self.plain_ports = {f"p{i + 1}": next(ports) for i in range(plain_services)}
@@ -206,7 +199,7 @@
         return f"http://{HOST}:{self.instance_ports[name][1]}"
 
     def stop_all(self) -> None:
-        """Stop all processes of this fleet in reverse order of their start."""
+        """Stop all processes in reverse order of their start; give the ports back."""
         for process in reversed(list(self.process_by_name.values())):
             if process.popen.poll() is None:
                 process.thaw()
@@ -216,6 +209,7 @@
                 process.popen.wait(STOP_TIMEOUT_S)
             except subprocess.TimeoutExpired:
                 process.kill()
+        self._reservation.close()
 
     def _start_standin(self, name: str, module: str, port: int) -> None:
         command = [sys.executable, "-m", module, "--port", str(port)]
--- a/standins/front_world.py
+++ b/standins/front_world.py
@@ -11,6 +11,7 @@
 from foxtailsaddle import forward, platform
 from foxtailsaddle.core import DataCentre, InstanceId
 
+from .ports import loopback_network
 from .rows import RowStore, store_server
 from .runner import Runner
 
@@ -133,7 +134,7 @@
     async def add_instance(self, **options: t.Any) -> forward.FrontApplication:
         """Start an instance on a loopback address of its own."""
         number = len(self.apps) + 1
-        host = f"127.0.1.{number}"
+        host = f"{loopback_network()}.{number}"
         settings = forward.FrontSettings(
             **{
                 "instance": InstanceId(f"i{number}"),
@@ -149,6 +150,8 @@
                 "retry_ratio": 0.2,
                 "retry_window_s": 10.0,
                 "retry_slack": 100.0,
+                "drain_timeout_s": 2.0,
+                "longest_reservation_s": 20.0,
             }
             | options
         )
@@ -162,7 +165,7 @@
                     forward.KeepAliveHttpClient(self.store.address)
                 ),
                 log=forward.NullLogWriter(),
-                reload=lambda: None,
+                reload=lambda: settings,
                 handle_signals=False,
             )
         )
@@ -215,7 +218,7 @@
     def _peer_port(self) -> int:
         if self.apps:
             return self.apps[0].env.settings.peer_port
-        return _free_port("127.0.1.1", socket.SOCK_DGRAM)
+        return _free_port(f"{loopback_network()}.1", socket.SOCK_DGRAM)
 
 
 class Client:
@@ -303,6 +306,7 @@
 
 
 def _free_port(host: str, kind: int = socket.SOCK_STREAM) -> int:
+    """Return a free port of a host that no other process uses."""
     with socket.socket(socket.AF_INET, kind) as sock:
         sock.bind((host, 0))
         return sock.getsockname()[1]
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -11,6 +11,21 @@
 from .wire import WireConnection, WireRequest, WireServer
 
 
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A change of one row.
+
+    :param at: time of the change, in seconds on trio's clock.
+    :param value: ``None`` if the row was removed.
+    """
+
+    at: float
+    version: int
+    table: str
+    key: str
+    value: bytes | None
+
+
 @dataclasses.dataclass
 class RowsKnobs:
     """Faults of the store.
@@ -32,6 +47,7 @@
     """The rows, their changes and the store's HTTP API.
 
     :ivar version: version of the last change.
+    :ivar era: number of times that the store was restored, plus one.
     :ivar oldest_version: feeds from before this version are refused.
     :ivar calls: number of calls by path.
     """
@@ -39,10 +55,12 @@
     def __init__(self) -> None:
         self.knobs = RowsKnobs()
         self.version = 0
+        self.era = 1
         self.oldest_version = 0
         self.calls: collections.Counter[str] = collections.Counter()
         self.rows: dict[tuple[str, str], tuple[int, bytes]] = {}
-        self._changes: list[tuple[int, str, str, bytes | None]] = []
+        self._changes: list[Change] = []
+        self._log: list[Change] = []
         self._changed = trio.Event()
 
     def put(self, table: str, key: str, value: t.Any) -> int:
@@ -60,6 +78,23 @@
         self._changes.clear()
         self._wake()
 
+    def restore(self, seconds_back: float) -> None:
+        """Return to the state of some seconds ago, in a new era.
+
+        The versions of the changes that are lost are assigned again.
+        """
+        restored_to = trio.current_time() - seconds_back
+        kept = [change for change in self._log if change.at <= restored_to]
+        self._log = kept
+        self._changes = [change for change in self._changes if change in kept]
+        self.version = kept[-1].version if kept else 0
+        self.oldest_version = min(self.oldest_version, self.version)
+        self.era += 1
+        self.rows.clear()
+        for change in kept:
+            self._set_row(change)
+        self._wake()
+
     async def handle(self, connection: WireConnection, request: WireRequest) -> bool:
         """Answer one call."""
         self.calls[request.path] += 1
@@ -80,14 +115,19 @@
     def _apply(self, changes: list[tuple[str, str, bytes | None]]) -> int:
         self.version += 1
         for table, key, value in changes:
-            if value is None:
-                self.rows.pop((table, key), None)
-            else:
-                self.rows[table, key] = (self.version, value)
-            self._changes.append((self.version, table, key, value))
+            change = Change(trio.current_time(), self.version, table, key, value)
+            self._set_row(change)
+            self._changes.append(change)
+            self._log.append(change)
         self._wake()
         return self.version
 
+    def _set_row(self, change: Change) -> None:
+        if change.value is None:
+            self.rows.pop((change.table, change.key), None)
+        else:
+            self.rows[change.table, change.key] = (change.version, change.value)
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
@@ -122,21 +162,22 @@
     async def _feed(self, connection: WireConnection, request: WireRequest) -> bool:
         table, after = request.query["table"], int(request.query["after"])
         with trio.move_on_after(int(request.query["wait_ms"]) / 1000):
-            while after >= self.oldest_version and not self._changes_since(
-                table, after
-            ):
+            while self._has_history(after) and not self._changes_since(table, after):
                 await self._changed.wait()
-        if after < self.oldest_version:
+        if not self._has_history(after):
             return await self._reply(connection, 410)
         return await self._reply(
             connection, 200, rows=self._changes_since(table, after)
         )
 
+    def _has_history(self, after: int) -> bool:
+        return self.oldest_version <= after <= self.version
+
     def _changes_since(self, table: str, after: int) -> list[dict[str, t.Any]]:
         return [
-            _row(name, key, version, value)
-            for version, name, key, value in self._changes
-            if name == table and version > after
+            _row(change.table, change.key, change.version, change.value)
+            for change in self._changes
+            if change.table == table and change.version > after
         ]
 
     async def _reply(
@@ -144,7 +185,8 @@
     ) -> bool:
         now_ms = int(trio.current_time() * 1000)
         body = json.dumps({"ver": self.version, "now_ms": now_ms, **fields})
-        return await connection.answer(status, body.encode())
+        headers = {"store-era": str(self.era)}
+        return await connection.answer(status, body.encode(), headers)
 
 
 def _row(table: str, key: str, version: int, value: bytes | None) -> dict[str, t.Any]:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -106,6 +106,9 @@
         result = await world.caller().call(world.url("i2"), "sign", b"{}", "k", 3.0)
         assert len(world.plain_by_name["p1"].ran) == 1
         self.result = result
+        await trio.sleep(1)
+        (row,) = world.platform.tables["ledger"].values()
+        self.stored_state = row[1]["state"]
 
     def test_a_lost_outcome_is_read_from_the_service(self):
         path = {"outcome_path": "attempts/{attempt}", "kind": "plain"}
@@ -113,6 +116,7 @@
         service = {**path, "repeatable": False, "endpoints": endpoints}
         run_world(self.lost_outcome, tree={"services": {"register": service}})
         assert self.result.code == "ok"
+        assert self.stored_state == "done"
 
     def test_a_lost_outcome_is_unknown_without_an_outcome_path(self):
         run_world(self.lost_outcome)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -8,7 +8,8 @@
 import yaml
 
 from foxtailsaddle.ports import HttpRequest
-from standins.fleet import CALLER_KEY, Fleet, free_ports
+from standins.fleet import CALLER_KEY, Fleet
+from standins.ports import PortReservation
 from standins.world import World, run_world
 
 MAX_BODY_BYTES = 200_000
@@ -145,12 +146,13 @@
     def test_a_port_in_use_is_named(self, tmp_path):
         with Fleet(tmp_path, instances=1, engines=1, plain_services=0) as fleet:
             settings = fleet.settings("i1")
-            operators, peers = free_ports(2)
-            settings["instance"]["operators"]["port"] = operators
-            settings["instance"]["peers"]["port"] = peers
-            path = tmp_path / "second.yaml"
-            path.write_text(yaml.safe_dump(settings))
-            result = self.run("serve", "--config", str(path))
+            with PortReservation(2) as reservation:
+                operators, peers = reservation.ports
+                settings["instance"]["operators"]["port"] = operators
+                settings["instance"]["peers"]["port"] = peers
+                path = tmp_path / "second.yaml"
+                path.write_text(yaml.safe_dump(settings))
+                result = self.run("serve", "--config", str(path))
         port = settings["instance"]["callers"]["port"]
         assert result.returncode == 1
         assert f'address_in_use: address "127.0.0.1:{port}"' in result.stderr
--- a/tests/test_forward_requests.py
+++ b/tests/test_forward_requests.py
@@ -1,11 +1,14 @@
 """Tests for requests that arrive on the users' platform, and for their answers."""
 
+import dataclasses
 import json
 import socket
 
+import pytest
 import trio
 
 from foxtailsaddle import forward
+from foxtailsaddle.errors import ExchangeBrokenError, SettingsError
 from standins.front_world import ACCOUNT, HOST, configuration
 from standins.runner import Fault
 from tests.loopback_world import eventually, in_world
@@ -319,10 +322,67 @@
         world.rows.knobs.lose_writes = 1
         store = forward.KeepAliveHttpClient(world.store.address)
         body = json.dumps({"writes": [], "delete": []}).encode()
-        try:
+        with pytest.raises(ExchangeBrokenError):
             await store.call("POST", "/rows-tx", body, 0.2)
-        except Exception as error:
-            assert error.code == "exchange_broken"
         reply = await store.call("POST", "/rows-tx", body, 1.0)
         assert reply.status == 200
         await store.aclose()
+
+
+class TestSlowClients:
+    """A client that stops in the middle of its request is told so."""
+
+    @in_world(plain=1, engines=0)
+    async def test_incomplete_headers_time_out(self, world):
+        async with await world.open(world.apps[0]) as client:
+            await client.stream.send_all(b"POST /safe/x HTTP/1.1\r\nHost:")
+            assert await received_status(client) == 408
+
+    @in_world(plain=1, engines=0)
+    async def test_an_incomplete_body_times_out(self, world):
+        async with await world.open(world.apps[0]) as client:
+            request = client.encode_request("/safe/x", body=b"12345678")
+            await client.stream.send_all(request[:-4])
+            assert (await client.reply()).status == 408
+
+    @in_world(plain=1, engines=0)
+    async def test_an_idle_connection_is_closed_without_an_answer(self, world):
+        async with await world.open(world.apps[0]) as client:
+            with trio.fail_after(5):
+                assert await client.stream.receive_some(100) == b""
+
+
+async def received_status(client):
+    """Return the status of an answer to a request that was not complete."""
+    data = b""
+    with trio.fail_after(5):
+        while chunk := await client.stream.receive_some(1000):
+            data += chunk
+    return int(data.split()[1])
+
+
+class TestReload:
+    """Settings that need no restart take effect on SIGHUP."""
+
+    @in_world(plain=1, engines=0)
+    async def test_the_retry_budget_changes(self, world):
+        app = world.apps[0]
+        changed = dataclasses.replace(
+            app.env.settings, retry_ratio=0.0, retry_slack=0.0
+        )
+        app.env = dataclasses.replace(app.env, reload=lambda: changed)
+        assert app.fleet.may_retry("plain", trio.current_time())
+        app.reload()
+        assert not app.fleet.may_retry("plain", trio.current_time())
+
+    @in_world(plain=1, engines=0)
+    async def test_invalid_settings_change_nothing(self, world):
+        app = world.apps[0]
+
+        def fail():
+            raise SettingsError("listen.front: missing")
+
+        app.env = dataclasses.replace(app.env, reload=fail)
+        app.reload()
+        assert app.fleet.may_retry("plain", trio.current_time())
+        assert (await world.ask(app, "/safe/x")).status == 200
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -4,11 +4,11 @@
 disables the mechanism behind the guarantee.
 """
 
+import contextlib
 import math
 import typing as t
 from unittest import mock
 
-import pytest
 import trio
 
 from foxtailsaddle.app import _admission, _attempts, _endpoint_poller, _model_gateway
@@ -379,5 +379,4 @@
 
     def test_fails_without_the_stall_timeout(self):
         tree = {"base": {"stall_s": 1e6}}
-        with pytest.raises((AssertionError, ExceptionGroup)):
-            run_world(self.scenario, tree=tree)
+        fails_without(self.scenario, contextlib.nullcontext(), tree=tree)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -78,8 +78,9 @@
 
     def test_fails_without_the_check(self):
         without_check = mock.patch.object(Lease, "may_send", lambda *_: True)
-        with without_check, pytest.raises(BaseException):  # noqa: B017
+        with without_check, pytest.raises(BaseExceptionGroup) as caught:
             run_world(self.scenario, checks_orders=False)
+        assert caught.group_contains(pytest.fail.Exception, match="DID NOT RAISE")
 
     def test_engines_with_a_check_refuse_a_late_send(self):
         run_world(self.late_send)
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -1,7 +1,10 @@
 """Tests for the links between peers over TCP sockets."""
 
+import contextlib
+import functools
 from unittest import mock
 
+import pytest
 import trio
 
 from foxtailsaddle.adapters import TcpPeerLinks, _peer_links
@@ -19,7 +22,7 @@
     QuoteRequest,
     Suspicion,
 )
-from standins.fleet import HOST, free_ports
+from standins.ports import HOST, PortReservation
 
 REQUEST = QuoteRequest("drafts", 10, 20, 0.5, ("e1",), True, (1, 2), (2**63, 5))
 REPLY = QuoteReply("e2", 0.1, 0.2, 0.3, 4, "inc")
@@ -67,10 +70,17 @@
             raise AssertionError(f"{packed!r} was decoded")
 
 
+@pytest.fixture
+def reserve_ports():
+    """Return a function that reserves ports until the test ends."""
+    with contextlib.ExitStack() as reservations:
+        yield lambda count: reservations.enter_context(PortReservation(count)).ports
+
+
 class TestTcpPeerLinks:
-    def test_a_request_gets_its_answer(self):
+    def test_a_request_gets_its_answer(self, reserve_ports):
         async def main() -> None:
-            ports = free_ports(2)
+            ports = reserve_ports(2)
             one = TcpPeerLinks(InstanceId("i1"), Listen(port=ports[0]))
             two = TcpPeerLinks(InstanceId("i2"), Listen(port=ports[1]))
             async with trio.open_nursery() as nursery:
@@ -83,9 +93,11 @@
 
         trio.run(main)
 
-    def test_a_request_to_a_silent_peer_times_out_and_a_new_link_works(self):
+    def test_a_request_to_a_silent_peer_times_out_and_a_new_link_works(
+        self, reserve_ports
+    ):
         async def main() -> None:
-            ports = free_ports(2)
+            ports = reserve_ports(2)
             one = TcpPeerLinks(InstanceId("i1"), Listen(port=ports[0]))
             peer = member("i2", ports[1])
             async with trio.open_nursery() as nursery:
@@ -106,9 +118,9 @@
         with mock.patch.object(_peer_links, "IDLE_TIMEOUT_S", 0.3):
             trio.run(main)
 
-    def test_a_link_that_sends_malformed_data_is_closed(self):
+    def test_a_link_that_sends_malformed_data_is_closed(self, reserve_ports):
         async def main() -> None:
-            (port,) = free_ports(1)
+            (port,) = reserve_ports(1)
             one = TcpPeerLinks(InstanceId("i1"), Listen(port=port))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(one.run, answer)
@@ -125,3 +137,28 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(main)
+
+    def test_a_peer_that_answers_twice_ends_no_links(self, reserve_ports):
+        async def answer_twice(stream: trio.SocketStream) -> None:
+            envelope = await _peer_links._read_envelope(stream, 2)
+            reply = encode(Envelope(InstanceId("i2"), REPLY, reply_to=envelope.id))
+            await stream.send_all(reply + reply)
+            await trio.sleep_forever()
+
+        async def main() -> None:
+            ports = reserve_ports(3)
+            one = TcpPeerLinks(InstanceId("i1"), Listen(port=ports[0]))
+            three = TcpPeerLinks(InstanceId("i3"), Listen(port=ports[2]))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(one.run, answer)
+                nursery.start_soon(three.run, answer)
+                serve = functools.partial(trio.serve_tcp, host=HOST)
+                await nursery.start(serve, answer_twice, ports[1])
+                await trio.sleep(0.1)
+                reply = await one.ask(member("i2", ports[1]), REQUEST, 2)
+                assert reply == REPLY
+                await trio.sleep(0.1)
+                assert await one.ask(member("i3", ports[2]), REQUEST, 2) == REPLY
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,9 +4,19 @@
 import trio
 
 from foxtailsaddle.core import EndpointId, InstanceId, Job, JobId, RetryWindow
-from foxtailsaddle.forward._datagrams import DatagramHeader, JobPlaced, encode
+from foxtailsaddle.forward._datagrams import (
+    NO_VERSION,
+    DatagramHeader,
+    JobPlaced,
+    encode,
+)
 from foxtailsaddle.forward._fleet import FleetState
-from foxtailsaddle.forward._peers import LARGE_FLEET_PEERS, Peers
+from foxtailsaddle.forward._peers import (
+    LARGE_FLEET_PEERS,
+    MAX_PENDING_UPDATES,
+    Peers,
+)
+from tests.loopback_world import eventually
 
 HOST = "127.0.0.1"
 ADDRESS = (HOST, 9)
@@ -22,7 +32,7 @@
 def greeting(incarnation, sender=OTHER, configuration=1, leaving=False):
     """Return the header of a datagram from one process of an instance."""
     return DatagramHeader(
-        sender, incarnation, "", configuration, leaving, False, 0, False
+        sender, incarnation, "", configuration, leaving, False, NO_VERSION, False
     )
 
 
@@ -67,7 +77,7 @@
         async def main():
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(peers.run)
-                await trio.sleep(0.05)
+                await eventually(lambda: peers._sock is not None)
                 address = peers._sock.getsockname()
                 sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
                 for number in range(100):
@@ -85,8 +95,15 @@
                     )
                     data = encode(greeting(1, sender), [JobPlaced(job, 5_000.0)])
                     await sock.sendto(data, address)
-                await trio.sleep(0.1)
+                await eventually(lambda: len(peers._fleet.engine_loads) == 100)
                 nursery.cancel_scope.cancel()
-            return len(peers._fleet.engine_loads)
 
-        assert trio.run(main) == 100
+        trio.run(main)
+
+    def test_updates_beyond_the_limit_are_counted(self, peers):
+        async def main():
+            for number in range(MAX_PENDING_UPDATES + 3):
+                peers.notify_began(JobId(number))
+
+        trio.run(main)
+        assert peers.dropped_updates == 3
