Giant prompts: the time that they take is no longer forgotten

Cause: short prompts were placed on engines that were prefilling a prompt of hundreds of thousands of tokens, with a predicted first event of 142 ms. The load did not count the prefill: when an earlier job of the same engine ended, its whole prefill time was subtracted from the pending time, although it had passed long before, and that wiped out the later prompt's. It was not the deprioritized jobs: those have short prefills.

Change: the end of a job frees only what it has not used of its time. An engine's predicted pause is no silence; a silent engine is given up only once the retry is granted and another engine exists, and is left out of the retry. The simulated engines prefill in that order, and no longer forget a prompt whose last part was prefilled elsewhere while its own engine was idle.

--- a/src/foxtailsaddle/core/__init__.py
+++ b/src/foxtailsaddle/core/__init__.py
@@ -45,6 +45,7 @@
     "OrderCheck": "._settings",
     "Outcome": "._ledger",
     "Placement": "._routing",
+    "PendingFirstEvent": "._engine_loads",
     "PlainCandidate": "._plain_placement",
     "Policy": "._settings",
     "PrefixIndex": "._prefixes",
--- a/src/foxtailsaddle/core/_engine_loads.py
+++ b/src/foxtailsaddle/core/_engine_loads.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 import typing as t
 
 from ._ids import EndpointId, InstanceId
@@ -28,6 +29,8 @@
     :param output_tokens: expected length of the answer.
     :param part_ms: prefill time at the endpoint and at each helper.
     :param gap_ms: longest permitted time between two events.
+    :param first_event_target_ms: time from its placement until its first event is
+        late; infinite if that does not matter.
     :param weight: value of an answer that is on time.
     :param reserved_by_endpoint: memory reserved at engines other than the endpoint, in
         tokens.
@@ -54,6 +57,7 @@
         default_factory=dict
     )
     deprioritized: bool = False
+    first_event_target_ms: float = math.inf
     decode_ms: float = 0.0
     first_event_at: float = 0.0
     ends_at: float = 0.0
@@ -64,6 +68,11 @@
         """All engines that prefill a part of the prompt."""
         return (self.endpoint, *self.helpers)
 
+    @property
+    def is_shared(self) -> bool:
+        """Whether several engines prefill its prompt."""
+        return bool(self.helpers)
+
     @property
     def kv_tokens(self) -> int:
         """Memory that the job takes at its endpoint, in tokens."""
@@ -94,6 +103,20 @@
         return max(remaining_ms, OVERRUN_MS if self.has_begun(now) else self.decode_ms)
 
 
+class PendingFirstEvent(t.NamedTuple):
+    """A prompt that an engine still prefills; all times are from now on.
+
+    :param due_ms: predicted time to its first event.
+    :param target_ms: time until its first event is late.
+    :param weight: value of an answer that is on time.
+    """
+
+    job: JobId
+    due_ms: float
+    target_ms: float
+    weight: float
+
+
 @dataclasses.dataclass(slots=True)
 class EngineLoad:
     """Present load of one engine.
@@ -107,6 +130,8 @@
     :param deprioritized: requests that have not begun and run after the others.
     :param remaining_ms: predicted time until each request ends, the soonest first.
     :param weighted_gaps_ms: (permitted time between events, weight) of each request.
+    :param pending_first_events: prompts whose first event a further shared prefill
+        would postpone.
     """
 
     prefill_ms: float = 0.0
@@ -120,22 +145,102 @@
     weighted_gaps_ms: list[tuple[float, float]] = dataclasses.field(
         default_factory=list
     )
+    pending_first_events: list[PendingFirstEvent] = dataclasses.field(
+        default_factory=list
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _Prefill:
+    """The part of a job that one engine prefills.
+
+    :param ends_at: predicted time at which it is done.
+    """
+
+    job: Job
+    ends_at: float
+
+    def unfinished_s(self, now: float) -> float:
+        """Return the part of its time that is still to come, in seconds."""
+        return min(self.job.part_ms / 1000, max(0.0, self.ends_at - now))
+
+    def postpone(self, delay_s: float) -> None:
+        """Move its end, and the first event of its job if that waits for it."""
+        self.ends_at += delay_s
+        job = self.job
+        if job.first_event_confirmed or self.ends_at <= job.first_event_at:
+            return
+        job.ends_at += self.ends_at - job.first_event_at
+        job.first_event_at = self.ends_at
 
 
 @dataclasses.dataclass(slots=True)
 class _EngineState:
     """Jobs of one engine.
 
-    :ivar prefill_until: predicted time at which its pending prefills are done.
     :ivar job_by_id: jobs that it decodes.
-    :ivar prefill_by_id: jobs of which it prefills a part.
+    :ivar prefill_by_id: parts of prompts that it prefills or has prefilled.
     :ivar reservation_by_id: jobs of other engines for which it reserves memory.
+    :ivar prefill_until: predicted time at which its pending prefills are done.
     """
 
-    prefill_until: float = 0.0
     job_by_id: dict[JobId, Job] = dataclasses.field(default_factory=dict)
-    prefill_by_id: dict[JobId, Job] = dataclasses.field(default_factory=dict)
+    prefill_by_id: dict[JobId, _Prefill] = dataclasses.field(default_factory=dict)
     reservation_by_id: dict[JobId, Job] = dataclasses.field(default_factory=dict)
+    prefill_until: float = 0.0
+
+    def add_prefill(self, job: Job, now: float) -> None:
+        """Add a job's part, and predict when it is done.
+
+        A part of a shared prefill goes ahead of all prefills that are pending; the
+        prefill of a whole prompt goes behind them. While the engine decodes, what is
+        pending belongs to its present pass, which is completed first.
+        """
+        part_s = job.part_ms / 1000
+        if job.is_shared and not self._is_decoding(now):
+            for prefill in self._pending(now):
+                prefill.postpone(part_s)
+            ends_at = now + part_s
+        else:
+            ends_at = max(now, self.prefill_until) + part_s
+        self.prefill_by_id[job.id] = _Prefill(job, ends_at)
+        job.first_event_at = max(job.first_event_at, ends_at)
+        if not job.deprioritized:
+            self.prefill_until = max(now, self.prefill_until) + part_s
+
+    def remove_prefill(self, job: Job, now: float) -> None:
+        """Remove a job's part; what it has not used of its time is free again."""
+        removed = self.prefill_by_id.pop(job.id, None)
+        if removed is None or job.deprioritized:
+            return
+        unfinished_s = removed.unfinished_s(now)
+        for prefill in self._pending(now):
+            if prefill.ends_at > removed.ends_at:
+                prefill.ends_at -= unfinished_s
+        self.prefill_until = max(now, self.prefill_until - unfinished_s)
+
+    def pending_first_events(self, now: float) -> list[PendingFirstEvent]:
+        """Return the prompts whose prefill here is not done."""
+        return [
+            PendingFirstEvent(
+                prefill.job.id,
+                (prefill.job.first_event_at - now) * 1000,
+                prefill.job.first_event_target_ms
+                - (now - prefill.job.placed_at) * 1000,
+                prefill.job.weight,
+            )
+            for prefill in self._pending(now)
+        ]
+
+    def _is_decoding(self, now: float) -> bool:
+        return any(job.has_begun(now) for job in self.job_by_id.values())
+
+    def _pending(self, now: float) -> list[_Prefill]:
+        return [
+            prefill
+            for prefill in self.prefill_by_id.values()
+            if prefill.ends_at > now and not prefill.job.first_event_confirmed
+        ]
 
 
 class EngineLoadTracker:
@@ -162,11 +267,7 @@
         self._job_by_id[job.id] = job
         for endpoint in job.engines:
             state = self._state_by_endpoint.setdefault(endpoint, _EngineState())
-            prefill_until = max(now, state.prefill_until) + job.part_ms / 1000
-            job.first_event_at = max(job.first_event_at, prefill_until)
-            if not job.deprioritized:
-                state.prefill_until = prefill_until
-            state.prefill_by_id[job.id] = job
+            state.add_prefill(job, now)
         for endpoint in job.reserved_by_endpoint:
             self._state_by_endpoint.setdefault(
                 endpoint, _EngineState()
@@ -228,6 +329,11 @@
         state = self._state_by_endpoint.get(endpoint)
         return len(state.job_by_id) if state else 0
 
+    def prefill_until(self, endpoint: EndpointId) -> float:
+        """Return the predicted time at which an engine has no pending prefills."""
+        state = self._state_by_endpoint.get(endpoint)
+        return state.prefill_until if state else 0.0
+
     def load(self, endpoint: EndpointId, now: float) -> EngineLoad:
         """Return the present load of an engine."""
         state = self._state_by_endpoint.get(endpoint)
@@ -245,9 +351,11 @@
             load.remaining_ms.append(job.remaining_ms(now))
         load.remaining_ms.sort()
         load.helper_prefills = sum(
-            job.endpoint != endpoint and not job.has_begun(now)
-            for job in state.prefill_by_id.values()
+            prefill.job.endpoint != endpoint and not prefill.job.has_begun(now)
+            for prefill in state.prefill_by_id.values()
         )
+        if not load.decoding_requests:
+            load.pending_first_events = state.pending_first_events(now)
         for job in state.reservation_by_id.values():
             load.kv_tokens += job.reserved_by_endpoint[endpoint]
         return load
@@ -255,9 +363,7 @@
     def _end_prefill(self, job: Job, now: float) -> None:
         for endpoint in job.engines:
             state = self._state_by_endpoint.get(endpoint)
-            if state is None or state.prefill_by_id.pop(job.id, None) is None:
-                continue
-            if not state.prefill_by_id:
-                state.prefill_until = now
-            elif not (job.first_event_confirmed or job.deprioritized):
-                state.prefill_until = max(now, state.prefill_until - job.part_ms / 1000)
+            if state is not None:
+                state.remove_prefill(job, now)
+                if not state.prefill_by_id:
+                    state.prefill_until = now
--- a/src/foxtailsaddle/core/_engine_placement.py
+++ b/src/foxtailsaddle/core/_engine_placement.py
@@ -15,7 +15,7 @@
 import math
 import typing as t
 
-from ._engine_loads import EngineLoad
+from ._engine_loads import EngineLoad, PendingFirstEvent
 from ._engine_time import EngineTime
 from ._ids import DataCentre, EndpointId
 
@@ -166,6 +166,13 @@
     return ramp + OVERRUN_LATENESS * max(0.0, share - LATENESS_RAMP_END)
 
 
+def postponement_cost(pending: PendingFirstEvent, delay_ms: float) -> float:
+    """Return the cost of a first event that comes later by a delay."""
+    present_lateness = lateness(pending.due_ms, pending.target_ms)
+    new_lateness = lateness(pending.due_ms + delay_ms, pending.target_ms)
+    return LATE_COST * pending.weight * (new_lateness - present_lateness)
+
+
 class _EngineEstimate:
     """Times and costs of one engine that are the same in every plan.
 
@@ -175,7 +182,11 @@
     :ivar streams: (permitted gap, total weight, present lateness) of its streams,
         grouped by the gap.
     :ivar main_cost: fixed cost if it is the main engine.
-    :ivar start_ms: time to the first event without the prefill of this prompt.
+    :ivar start_ms: time to the first event without the prefill of this prompt, if it
+        prefills the whole prompt; its pending prefills go first.
+    :ivar shared_start_ms: the same if it prefills a part; that goes ahead of its
+        pending prefills, except for those of a pass that also decodes.
+    :ivar helper_start_ms: the same if it is a helper, which needs no slot.
     :ivar helper_cost: fixed cost if it is a helper.
     :ivar safe_gap_ms: time between events up to which no stream can be late.
     """
@@ -187,6 +198,8 @@
         "engine",
         "main_cost",
         "start_ms",
+        "shared_start_ms",
+        "helper_start_ms",
         "free_tokens",
         "slowdown",
         "helper_cost",
@@ -213,9 +226,13 @@
             planner.demand.output_tokens, decoding + 1, context + prompt_tokens
         )
         remaining_pass_ms = first_pass_ms / 2 if load.decoding_requests else 0.0
-        engine_ms = remaining_pass_ms + load.prefill_ms + first_pass_ms
         self.slot_wait_ms = _slot_wait_ms(load, time.spec.slots)
-        self.start_ms = NETWORK_MS + self.slowdown * engine_ms + self.slot_wait_ms
+        idle_start_ms = NETWORK_MS + self.slowdown * (remaining_pass_ms + first_pass_ms)
+        pending_ms = self.slowdown * load.prefill_ms
+        pass_pending_ms = pending_ms if load.decoding_requests else 0.0
+        self.start_ms = idle_start_ms + pending_ms + self.slot_wait_ms
+        self.helper_start_ms = idle_start_ms + pass_pending_ms
+        self.shared_start_ms = self.helper_start_ms + self.slot_wait_ms
         self.main_gap_ms = self.slowdown * (decode_pass_ms + load.prefill_ms)
         self.helper_gap_ms = self.slowdown * (pass_ms + load.prefill_ms)
         weight_by_gap: dict[float, float] = {}
@@ -234,6 +251,13 @@
         self.helper_cost = HELPER_COST + failure_cost + stall_cost
         self.tie_break = load.prefill_ms + load.context_tokens / 1000
 
+    def postponement_cost(self, part_ms: float) -> float:
+        """Return the cost to the prompts that wait for this engine's prefills."""
+        return sum(
+            postponement_cost(pending, self.slowdown * part_ms)
+            for pending in self.engine.load.pending_first_events
+        )
+
     def delay_cost(self, event_gap_ms: float) -> float:
         """Return the cost to the present streams if events come this far apart."""
         if event_gap_ms <= self.safe_gap_ms:
@@ -269,7 +293,7 @@
         part_ms = self.time.prefill_ms(self.demand.prompt_tokens, parts)
         main = min(
             engines,
-            key=lambda estimate: self._main_sort_key(estimate, part_ms),
+            key=lambda estimate: self._main_sort_key(estimate, part_ms, parts > 1),
             default=None,
         )
         if main is None:
@@ -311,13 +335,17 @@
         part_ms: float,
         reserved: dict[EndpointId, int],
     ) -> StreamPlan:
-        first_event_ms = max(
-            estimate.start_ms + estimate.slowdown * part_ms
-            for estimate in (main, *helpers)
-        )
+        part_ends_ms = [
+            helper.helper_start_ms + helper.slowdown * part_ms for helper in helpers
+        ]
+        main_start_ms = _main_start_ms(main, is_shared=bool(helpers))
+        part_ends_ms.append(main_start_ms + main.slowdown * part_ms)
+        first_event_ms = max(part_ends_ms)
         cost = self._first_event_cost(first_event_ms) + main.main_cost
         cost += self._main_delay_cost(main, part_ms, sum(reserved.values()))
         cost += sum(self._helper_cost(helper, part_ms) for helper in helpers)
+        if helpers:
+            cost += _total_postponement_cost((main, *helpers), part_ms)
         return StreamPlan(
             endpoint=main.engine.id,
             helpers=tuple(helper.engine.id for helper in helpers),
@@ -363,10 +391,12 @@
         self, estimate: _EngineEstimate, part_ms: float
     ) -> tuple[float, float]:
         first_event_cost = self._first_event_cost(
-            estimate.start_ms + estimate.slowdown * part_ms
+            estimate.helper_start_ms + estimate.slowdown * part_ms
         )
         return (
-            self._helper_cost(estimate, part_ms) + first_event_cost,
+            self._helper_cost(estimate, part_ms)
+            + first_event_cost
+            + estimate.postponement_cost(part_ms),
             estimate.engine.load.prefill_ms,
         )
 
@@ -375,13 +405,16 @@
         return estimate.helper_cost + estimate.delay_cost(event_gap_ms)
 
     def _main_sort_key(
-        self, estimate: _EngineEstimate, part_ms: float
+        self, estimate: _EngineEstimate, part_ms: float, is_shared: bool
     ) -> tuple[float, float]:
+        start_ms = _main_start_ms(estimate, is_shared)
         cost = (
-            self._first_event_cost(estimate.start_ms + estimate.slowdown * part_ms)
+            self._first_event_cost(start_ms + estimate.slowdown * part_ms)
             + estimate.main_cost
         )
         cost += self._main_delay_cost(estimate, part_ms, 0)
+        if is_shared:
+            cost += estimate.postponement_cost(part_ms)
         return cost, estimate.tie_break
 
     def _main_delay_cost(
@@ -435,6 +468,28 @@
         return reserved if remaining_tokens <= 0 else None
 
 
+def _main_start_ms(estimate: _EngineEstimate, is_shared: bool) -> float:
+    return estimate.shared_start_ms if is_shared else estimate.start_ms
+
+
+def _total_postponement_cost(
+    estimates: t.Iterable[_EngineEstimate], part_ms: float
+) -> float:
+    """Return the cost to the prompts that wait for any of several engines.
+
+    A prompt that waits for more than one of them counts once.
+    """
+    pending_by_job = {
+        pending.job: (pending, estimate.slowdown * part_ms)
+        for estimate in estimates
+        for pending in estimate.engine.load.pending_first_events
+    }
+    return sum(
+        postponement_cost(pending, delay_ms)
+        for pending, delay_ms in pending_by_job.values()
+    )
+
+
 def _slot_wait_ms(load: EngineLoad, slots: int) -> float:
     """Return the predicted time until one more request gets a slot.
 
--- a/src/foxtailsaddle/forward/_datagrams.py
+++ b/src/foxtailsaddle/forward/_datagrams.py
@@ -212,6 +212,7 @@
     builder.weight = job.weight
     builder.writingMs = update.decode_ms
     builder.yields = job.deprioritized
+    builder.targetMs = job.first_event_target_ms
     held = builder.init("held", len(job.reserved_by_endpoint))
     for index, (endpoint, tokens) in enumerate(job.reserved_by_endpoint.items()):
         held[index].endpoint = endpoint
@@ -234,6 +235,7 @@
             EndpointId(held.endpoint): held.tokens for held in reader.held
         },
         deprioritized=reader.yields,
+        first_event_target_ms=reader.targetMs,
     )
     return JobPlaced(job, reader.writingMs)
 
--- a/src/foxtailsaddle/forward/_request_context.py
+++ b/src/foxtailsaddle/forward/_request_context.py
@@ -34,6 +34,7 @@
     :param expires_at: when the time that the caller or the route allows is over.
     :param possible_runs: number of endpoints that may have run the request.
     :param attempts: number of attempts that were started.
+    :param has_claimed_retry: a retry was taken out of the budget for the next attempt.
     :param tried_endpoints: endpoints that failed or refused the request.
     :param full_endpoints: endpoints that had no memory left for the request.
     :param log_fields: further fields of the log line of the end of the request.
@@ -53,6 +54,7 @@
     response_writer: ResponseWriter
     possible_runs: int = 0
     attempts: int = 0
+    has_claimed_retry: bool = False
     tried_endpoints: list[EndpointId] = dataclasses.field(default_factory=list)
     full_endpoints: set[EndpointId] = dataclasses.field(default_factory=set)
     log_fields: dict[str, t.Any] = dataclasses.field(default_factory=dict)
--- a/src/foxtailsaddle/forward/_retrying.py
+++ b/src/foxtailsaddle/forward/_retrying.py
@@ -28,7 +28,17 @@
     """
     if context.possible_runs and not can_run_again(context):
         return False
-    return context.remaining_s(now) > 0 and fleet.may_retry(context.service.id, now)
+    if context.remaining_s(now) <= 0 or not claim_retry(fleet, context, now):
+        return False
+    context.has_claimed_retry = False
+    return True
+
+
+def claim_retry(fleet: FleetState, context: RequestContext, now: float) -> bool:
+    """Take a retry out of the budget before the present attempt is given up."""
+    if not context.has_claimed_retry:
+        context.has_claimed_retry = fleet.may_retry(context.service.id, now)
+    return context.has_claimed_retry
 
 
 def eligible_endpoints(
--- a/src/foxtailsaddle/forward/_stream_timeouts.py
+++ b/src/foxtailsaddle/forward/_stream_timeouts.py
@@ -1,10 +1,15 @@
-"""Timeouts for silent streams, and the gaps between their events."""
+"""Decides when a stream from a silent engine is resumed at another engine."""
 
 import math
+import typing as t
+
+import trio
 
 from ..core import StreamPlan
+from ..errors import ExchangeBrokenError
+from ._fleet import FleetState
 from ._request_context import RequestContext
-from ._retrying import can_run_again
+from ._retrying import can_run_again, claim_retry
 
 # Callers abandon a stream that is silent for the longest of these times.
 CALLER_TIMEOUT_S = 2.0
@@ -17,6 +22,92 @@
 # Of the predicted time; less would repeat prefills just when engines are busy.
 HELPERS_TIMEOUT_FACTOR = 3.0
 
+MAX_BUSY_SHARE = 0.5  # of the timeout; a longer silence after a pause is a failure
+PAUSE_MARGIN_S = 0.3  # after the predicted end of an engine's pause
+RESUME_S = 0.5  # to get an event from another engine before the caller gives up
+CLAIM_INTERVAL_S = 0.25  # between two attempts to get a retry out of the budget
+
+Received = t.TypeVar("Received")
+
+
+class EngineSilentError(ExchangeBrokenError):
+    """An engine was silent for too long, and another one is to continue.
+
+    :param is_busy: the silence is explained by prompts that it prefills.
+    """
+
+    def __init__(self, message: str, *, is_busy: bool) -> None:
+        super().__init__(message)
+        self.is_busy = is_busy
+
+
+class SilenceTimeout:
+    """Waits for an engine, until it is silent too long and may be replaced.
+
+    An engine that prefills long prompts sends nothing meanwhile. While that explains
+    its silence, it is replaced only if its caller would otherwise give up. While no
+    retry is granted or there is no other engine, it is not replaced at all.
+    """
+
+    def __init__(
+        self, fleet: FleetState, context: RequestContext, plan: StreamPlan
+    ) -> None:
+        self._fleet = fleet
+        self._context = context
+        self._plan = plan
+
+    async def first_response(
+        self, receive: t.Callable[[], t.Awaitable[Received]]
+    ) -> Received:
+        """Wait for the first bytes of a response.
+
+        :raises EngineSilentError: another engine is to be tried.
+        """
+        return await self._wait(
+            receive, first_event_timeout_s(self._context, self._plan)
+        )
+
+    async def next_data(
+        self, receive: t.Callable[[], t.Awaitable[Received]]
+    ) -> Received:
+        """Wait for further bytes of a response.
+
+        :raises EngineSilentError: another engine is to be tried.
+        """
+        return await self._wait(receive, event_gap_timeout_s(self._context, self._plan))
+
+    async def _wait(
+        self, receive: t.Callable[[], t.Awaitable[Received]], timeout_s: float
+    ) -> Received:
+        began_at = trio.current_time()
+        ends_at = began_at + timeout_s
+        while True:
+            with trio.move_on_at(ends_at):
+                return await receive()
+            now = trio.current_time()
+            ends_at = max(ends_at, self._busy_until(began_at))
+            if now < ends_at:
+                continue
+            if self._may_replace(now):
+                raise EngineSilentError(
+                    f'"{self._plan.endpoint}" was silent for {now - began_at:.1f} s',
+                    is_busy=now - self._pause_ends_at() < timeout_s * MAX_BUSY_SHARE,
+                )
+            ends_at = now + CLAIM_INTERVAL_S
+
+    def _pause_ends_at(self) -> float:
+        return self._fleet.engine_loads.prefill_until(self._plan.endpoint)
+
+    def _busy_until(self, silent_since: float) -> float:
+        """Return until when prefills explain the silence and the caller waits."""
+        caller_leaves_at = silent_since + caller_timeout_s(self._context)
+        return min(self._pause_ends_at() + PAUSE_MARGIN_S, caller_leaves_at - RESUME_S)
+
+    def _may_replace(self, now: float) -> bool:
+        usable = self._fleet.endpoints.usable(self._context.service.id)
+        has_other = any(entry.id != self._plan.endpoint for entry in usable)
+        return has_other and claim_retry(self._fleet, self._context, now)
+
 
 def first_event_timeout_s(context: RequestContext, plan: StreamPlan) -> float:
     """Return the time to wait for the first event before another endpoint is tried."""
--- a/src/foxtailsaddle/forward/_streams.py
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -28,7 +28,7 @@
 from ._retrying import can_run_again, final_error, may_attempt_again
 from ._slot_queues import SlotQueues
 from ._stream_placer import StreamPlacer
-from ._stream_timeouts import EventGaps, event_gap_timeout_s, first_event_timeout_s
+from ._stream_timeouts import EngineSilentError, EventGaps, SilenceTimeout
 
 logger = logging.getLogger("foxtailsaddle.stream")
 
@@ -101,6 +101,8 @@
                 error = failure
                 if isinstance(failure, MemoryFullError):
                     context.full_endpoints.add(failure.endpoint)
+                if isinstance(failure, EngineSilentError):
+                    context.tried_endpoints.append(plan.endpoint)
                 self._log_failure(context, plan, failure, buffer)
                 buffer.discard_partial_event()
                 entry = self._fleet.endpoints.get(plan.endpoint)
@@ -195,6 +197,7 @@
         self, context: RequestContext, plan: StreamPlan, buffer: EventBuffer
     ) -> Job:
         prompt = context.request.prompt_size or PromptSize(0, 0)
+        now = trio.current_time()
         return Job(
             id=self._job_ids.new(),
             origin=self._fleet.instance,
@@ -205,7 +208,11 @@
             part_ms=plan.part_ms,
             gap_ms=context.route.gap_s * 1000,
             weight=answer_weight(prompt.prompt_tokens, _output_tokens(prompt)),
-            placed_at=trio.current_time(),
+            placed_at=now,
+            first_event_target_ms=(
+                context.route.first_event_target_s - (now - context.arrived_at)
+            )
+            * 1000,
             reserved_by_endpoint=plan.reserved_by_endpoint,
             deprioritized=_may_defer(plan, buffer),
         )
@@ -280,18 +287,19 @@
     async def _receive_head(
         self, context: RequestContext, attempt: Attempt, plan: StreamPlan
     ) -> h11.Response:
-        timeout_s = first_event_timeout_s(context, plan)
-        with trio.move_on_after(timeout_s):
-            response, _ = await attempt.receive_head()
+        silence = SilenceTimeout(self._fleet, context, plan)
+        try:
+            response, _ = await silence.first_response(attempt.receive_head)
             return response
-        if plan.slot_ms:
-            attempt.outcome = AttemptOutcome.NEUTRAL
-        elif plan.helpers:
-            # Any of these engines may be the one that has not finished its part.
-            attempt.outcome = AttemptOutcome.STUCK
-        else:
-            attempt.outcome = AttemptOutcome.FAILED
-        raise ExchangeBrokenError(f'"{plan.endpoint}" was silent for {timeout_s:.1f} s')
+        except EngineSilentError as error:
+            if plan.slot_ms or error.is_busy:
+                attempt.outcome = AttemptOutcome.NEUTRAL
+            elif plan.helpers:
+                # Any of these engines may be the one that has not finished its part.
+                attempt.outcome = AttemptOutcome.STUCK
+            else:
+                attempt.outcome = AttemptOutcome.FAILED
+            raise
 
     async def _relay_events(
         self,
@@ -301,14 +309,14 @@
         buffer: EventBuffer,
     ) -> None:
         gaps = EventGaps(trio.current_time())
-        timeout_s = event_gap_timeout_s(context, plan)
+        silence = SilenceTimeout(self._fleet, context, plan)
         while True:
-            data: bytes | None = None
-            with trio.move_on_after(timeout_s) as scope:
-                data = await attempt.receive_data()
-            if scope.cancelled_caught:
-                attempt.outcome = AttemptOutcome.FAILED
-                raise ExchangeBrokenError(f'"{plan.endpoint}" went silent')
+            try:
+                data = await silence.next_data(attempt.receive_data)
+            except EngineSilentError as error:
+                if not error.is_busy:
+                    attempt.outcome = AttemptOutcome.FAILED
+                raise
             if data is None:
                 return
             complete_events = buffer.feed(data)
--- a/src/foxtailsaddle/forward/notes.capnp
+++ b/src/foxtailsaddle/forward/notes.capnp
@@ -38,6 +38,7 @@
   writingMs @8 :Float32;
   held @9 :List(Held);
   yields @10 :Bool;
+  targetMs @11 :Float32;
 }
 
 struct Held {
--- a/standins/passes.py
+++ b/standins/passes.py
@@ -1,10 +1,10 @@
 """Discrete-event simulation of model engines that work in passes, without network.
 
 Time advances from event to event, so that minutes of load are simulated in about
-a second. An engine prefills prompts between decode steps: first the parts that it
-prefills for other engines, then its own prompts by priority. Tests and
-measurements of placement use it. It follows only the published rules of the
-platform's engines.
+a second. An engine prefills prompts between decode steps: first the parts of shared
+prompts, the newest first, then whole prompts by priority. Tests and measurements of
+placement use it. It follows the published rules of the platform's engines, and the
+order of shared parts that first events show.
 """
 
 import dataclasses
@@ -56,6 +56,7 @@
     remaining_ms: float
     tokens: int
     is_own: bool
+    is_shared: bool
 
 
 class PassEngine:
@@ -74,15 +75,29 @@
         self._waiting: list[Prompt] = []
         self._decoding: list[Prompt] = []
         self._admitted: list[Prompt] = []
+        self._prefilled: list[Prompt] = []
         self.is_running = False
 
-    def read(self, prompt: Prompt, part_ms: float, tokens: int, is_own: bool) -> None:
+    def read(
+        self,
+        prompt: Prompt,
+        part_ms: float,
+        tokens: int,
+        *,
+        is_own: bool,
+        is_shared: bool,
+    ) -> None:
         """Queue the prefill of a part of a prompt.
 
         :param part_ms: prefill time of the part.
         :param is_own: whether this engine also decodes the answer.
+        :param is_shared: whether other engines prefill parts of the same prompt.
         """
-        self._parts.append(_Part(prompt, part_ms, tokens, is_own))
+        part = _Part(prompt, part_ms, tokens, is_own, is_shared)
+        if is_shared:
+            self._parts.insert(0, part)
+        else:
+            self._parts.append(part)
 
     def admit(self, prompt: Prompt) -> None:
         """Queue a prompt whose answer this engine decodes."""
@@ -91,7 +106,8 @@
     def begin_pass(self) -> float | None:
         """Start a pass; return its duration in milliseconds, ``None`` without work."""
         self._admit_waiting()
-        if not (self._parts or self._decoding):
+        is_prompt_ready = any(not prompt.remaining_parts for prompt in self._admitted)
+        if not (self._parts or self._decoding or is_prompt_ready):
             return None
         spec = self._time.spec
         steps = spec.stride if self._decoding else 1
@@ -104,6 +120,9 @@
 
     def end_pass(self, now_ms: float) -> list[Prompt]:
         """Emit events; return the prompts whose answer has begun or ended."""
+        for prompt in self._prefilled:
+            prompt.remaining_parts -= 1
+        self._prefilled.clear()
         changed = []
         for prompt in self._decoding:
             is_first = prompt.first_ms is None
@@ -129,11 +148,13 @@
     def _prefill(self, tokens: float) -> float:
         """Prefill up to ``tokens`` tokens; return the time that it takes.
 
-        Parts for other engines go first.
+        Parts of shared prompts go first, the newest before all others.
         """
         spent_ms = 0.0
         admitted = {prompt.number for prompt in self._admitted}
-        self._parts.sort(key=lambda part: (part.is_own, part.prompt.priority))
+        self._parts.sort(
+            key=lambda part: 0 if part.is_shared else 1 + part.prompt.priority
+        )
         for part in list(self._parts):
             if part.is_own and part.prompt.number not in admitted:
                 continue
@@ -146,7 +167,7 @@
             part.tokens = int(part.tokens * (1 - share))
             if share == 1.0:
                 self._parts.remove(part)
-                part.prompt.remaining_parts -= 1
+                self._prefilled.append(part.prompt)
         return spent_ms
 
 
@@ -223,7 +244,13 @@
         part_ms = self._time.prefill_ms(prompt.tokens, parts)
         for id in (main, *helpers):
             engine = self._engine_by_id[id]
-            engine.read(prompt, part_ms, prompt.tokens // parts, id == main)
+            engine.read(
+                prompt,
+                part_ms,
+                prompt.tokens // parts,
+                is_own=id == main,
+                is_shared=parts > 1,
+            )
             if id == main:
                 engine.admit(prompt)
             self._wake(engine, now_ms)
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -35,6 +35,7 @@
     prefill_ms=0.0,
     other_kv_tokens=0,
     data_centre=HOME,
+    pending_first_events=(),
     **options,
 ):
     """Return an engine that decodes the given numbers of short and long answers.
@@ -49,6 +50,7 @@
         kv_tokens=other_kv_tokens + short_requests * 6_000 + long_requests * 131_000,
         weighted_gaps_ms=[(SHORT_TOKEN_GAP_MS, 1.3)] * short_requests
         + [(1000.0, 10.0)] * long_requests,
+        pending_first_events=list(pending_first_events),
     )
     return EngineCandidate(EndpointId(name), data_centre, load, **options)
 
--- a/tests/test_engine_books.py
+++ b/tests/test_engine_books.py
@@ -52,6 +52,59 @@
         assert round(books.load(A, 0.0).prefill_ms) == 100
 
 
+class TestSharedPrefill:
+    """Load pattern: giant prompts that follow each other on the same engines."""
+
+    def test_the_end_of_an_earlier_job_does_not_shorten_a_later_prefill(self):
+        books = EngineLoadTracker()
+        books.place(job(1, helpers=(B,), part_ms=4_000.0), 2_000.0, 0.0)
+        books.place(job(2, helpers=(B,), part_ms=2_000.0), 2_000.0, 5.0)
+        books.end(JobId(1), 5.1)
+        assert round(books.load(A, 5.1).prefill_ms) == 1_900
+        assert round(books.load(B, 5.1).prefill_ms) == 1_900
+
+    def test_a_job_that_ends_early_frees_only_what_it_has_not_used(self):
+        books = EngineLoadTracker()
+        books.place(job(1, part_ms=1_000.0), 2_000.0, 0.0)
+        books.place(job(2, part_ms=1_000.0), 2_000.0, 0.0)
+        books.end(JobId(1), 0.6)
+        assert round(books.load(A, 0.6).prefill_ms) == 1_000
+
+    def test_a_new_part_goes_ahead_of_earlier_ones(self):
+        books = EngineLoadTracker()
+        books.place(job(1, helpers=(B,), part_ms=1_000.0), 2_000.0, 0.0)
+        books.place(job(2, helpers=(B,), part_ms=2_000.0), 2_000.0, 0.5)
+        assert books.get(JobId(2)).first_event_at == 2.5
+        assert books.get(JobId(1)).first_event_at == 3.0
+        assert books.get(JobId(1)).ends_at == 5.0
+
+    def test_a_new_part_waits_for_the_pass_of_an_engine_that_decodes(self):
+        books = EngineLoadTracker()
+        books.place(job(1, part_ms=0.0), 9_000.0, 0.0)
+        books.place(job(2, helpers=(B,), part_ms=1_000.0), 2_000.0, 0.0)
+        books.place(job(3, helpers=(B,), part_ms=1_000.0), 2_000.0, 0.5)
+        assert books.get(JobId(2)).first_event_at == 2.0
+        assert books.get(JobId(3)).first_event_at == 2.0
+
+    def test_a_whole_prompt_waits_for_all_parts(self):
+        books = EngineLoadTracker()
+        books.place(job(1, helpers=(B,), part_ms=1_000.0), 2_000.0, 0.0)
+        books.place(job(2), 2_000.0, 0.5)
+        assert books.get(JobId(2)).first_event_at == 1.1
+
+    def test_prompts_that_a_further_part_would_postpone_are_named(self):
+        books = EngineLoadTracker()
+        books.place(
+            job(1, helpers=(B,), part_ms=1_000.0, first_event_target_ms=3_000.0),
+            2_000.0,
+            0.0,
+        )
+        (pending,) = books.load(B, 0.4).pending_first_events
+        assert round(pending.due_ms) == 600
+        assert round(pending.target_ms) == 2_600
+        assert books.load(B, 1.1).pending_first_events == []
+
+
 class TestCleanup:
     def test_an_ended_job_releases_everything(self):
         books = EngineLoadTracker()
--- a/tests/test_engine_placement.py
+++ b/tests/test_engine_placement.py
@@ -1,6 +1,6 @@
 """Tests for the placement of prompts; each class names its load pattern."""
 
-from foxtailsaddle.core import EndpointId, place_stream
+from foxtailsaddle.core import EndpointId, JobId, PendingFirstEvent, place_stream
 from tests.engines import HOME, SPEC, TIME, engine, long_prompt, short_prompt
 
 
@@ -110,3 +110,32 @@
     def test_without_enough_memory_there_is_no_plan(self):
         engines = [engine(str(n), other_kv_tokens=225_000) for n in range(3)]
         assert place(long_prompt(500_000), engines) is None
+
+
+class TestOverlappingGiants:
+    """Giant prompts arrive while others are still prefilled on many engines."""
+
+    def test_a_new_one_leaves_the_engines_of_one_that_would_become_late(self):
+        pending = PendingFirstEvent(JobId(1), 1_500.0, 1_600.0, 20.0)
+        reading = [
+            engine(f"reading{n}", prefill_ms=1_500.0, pending_first_events=[pending])
+            for n in range(7)
+        ]
+        plan = place(long_prompt(), reading + [engine(f"free{n}") for n in range(7)])
+        chosen = {plan.endpoint, *plan.helpers}
+        assert not chosen & {candidate.id for candidate in reading}
+
+    def test_a_new_one_goes_ahead_of_one_that_can_wait(self):
+        pending = PendingFirstEvent(JobId(1), 500.0, 60_000.0, 20.0)
+        reading = [
+            engine(f"reading{n}", prefill_ms=500.0, pending_first_events=[pending])
+            for n in range(14)
+        ]
+        assert place(long_prompt(), reading).first_event_ms < 600
+
+    def test_a_prompt_that_waits_for_several_engines_counts_once(self):
+        pending = PendingFirstEvent(JobId(1), 1_000.0, 1_100.0, 5.0)
+        reading = [engine(str(n), pending_first_events=[pending]) for n in range(14)]
+        idle = [engine(str(n)) for n in range(14)]
+        excess = place(long_prompt(), reading).cost - place(long_prompt(), idle).cost
+        assert excess < 5.0
--- a/tests/test_forward_streams.py
+++ b/tests/test_forward_streams.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from foxtailsaddle.core import EndpointId, InstanceId, Job, JobId
 from standins.runner import Fault
 from tests.loopback_world import eventually, in_world
 
@@ -90,6 +91,70 @@
         assert sum(len(world.runners[n].runs) for n in ("e0", "e1")) == 2
 
 
+class TestPausingEngines:
+    """Load pattern: engines that send nothing while they prefill giant prompts."""
+
+    @in_world(engines=2, retry_ratio=0.0, retry_slack=0.0)
+    async def test_no_stream_is_cut_while_the_retry_budget_is_used_up(self, world):
+        for runner in world.runners.values():
+            runner.gap_s = 1.5
+            runner.events = 2
+        reply = await world.ask(
+            world.apps[0], "/stream/x", headers={"X-Deadline-Ms": "9000"}
+        )
+        assert event_ids(reply.body) == [1, 2]
+        assert not reply.is_truncated
+        assert sum(len(runner.runs) for runner in world.runners.values()) == 1
+
+    @in_world(engines=1)
+    async def test_no_stream_is_cut_without_another_engine(self, world):
+        world.runners["e0"].gap_s = 1.5
+        world.runners["e0"].events = 2
+        reply = await world.ask(world.apps[0], "/stream/x")
+        assert event_ids(reply.body) == [1, 2]
+        assert len(world.runners["e0"].runs) == 1
+
+    @in_world(engines=2)
+    async def test_a_foreseen_pause_is_not_taken_for_a_failure(self, world):
+        app = world.apps[0]
+        for runner in world.runners.values():
+            runner.gap_s = 1.3
+            runner.events = 2
+        client = await world.open(app)
+        await client.stream.send_all(client.encode_request("/stream/x"))
+        await eventually(lambda: len(app.fleet.engine_loads) == 1)
+        await trio.sleep(0.1)
+        place_giant_prompt(app, part_ms=2_500.0)
+        reply = await client.reply()
+        assert event_ids(reply.body) == [1, 2]
+        assert sum(len(runner.runs) for runner in world.runners.values()) == 1
+
+    @in_world(engines=2)
+    async def test_an_unforeseen_pause_is_taken_for_a_failure(self, world):
+        for runner in world.runners.values():
+            runner.gap_s = 1.3
+            runner.events = 2
+        reply = await world.ask(world.apps[0], "/stream/x")
+        assert event_ids(reply.body) == [1, 2]
+        assert sum(len(runner.runs) for runner in world.runners.values()) == 2
+
+
+def place_giant_prompt(app, part_ms):
+    """Record a prompt of another instance that both engines prefill."""
+    job = Job(
+        JobId(99),
+        InstanceId("other"),
+        EndpointId("e0"),
+        (EndpointId("e1"),),
+        400_000,
+        500,
+        part_ms,
+        1_000.0,
+        20.0,
+    )
+    app.fleet.engine_loads.place(job, 1_000.0, trio.current_time())
+
+
 class TestLongPrompts:
     @in_world(engines=6)
     async def test_are_prefilled_with_helpers(self, world):
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -106,6 +106,8 @@
             plan.part_ms,
             prompt.gap_ms,
             answer_weight(prompt.tokens, prompt.output_tokens),
+            placed_at=now_ms / 1000,
+            first_event_target_ms=prompt.target_ms - (now_ms - prompt.at_ms),
         )
         self._books.place(job, plan.decode_ms, now_ms / 1000)
         return plan.endpoint, plan.helpers
