The own interface on a restored platform; fewer calls to the store

Cause: a restore of the platform takes back acknowledged writes. On the product's own interface that gave a fencing number and a revision number twice, ran a call again whose ledger row was lost, and left starting instances behind a gap in the log for ever (each read of the log then looped without an end).

Change: the platform names its era, and RestoreMonitor tells of a new one. Instances write their recent ledger rows again, and no key is claimed for 5 s. The stand-in platform gets restore and eras.

The wait of a feed follows the bound within which a process must have caught up, so a silent connection is still noticed within it.

--- a/src/foxtailsaddle/adapters/_platform_http.py
+++ b/src/foxtailsaddle/adapters/_platform_http.py
@@ -20,6 +20,7 @@
 from ..ports import HttpClient, HttpRequest, ListedInstance, Row
 
 IDLE_TIMEOUT_S = 2.0
+ERA_HEADER = "store-era"
 STATUS_NOT_FOUND = 404
 STATUS_PRECONDITION_FAILED = 412
 
@@ -41,6 +42,8 @@
     def __init__(self, client: HttpClient, url: str) -> None:
         self._client = client
         self._url = url
+        self.era = 0
+        self.on_new_era: t.Callable[[int, int], None] = lambda era, previous: None
 
     async def get(self, table: str, key: str) -> Row | None:
         """Return a row, or ``None``."""
@@ -114,6 +117,13 @@
             )
         return status, body
 
+    def _record_era(self, text: str) -> None:
+        """Record the era of an answer; answers of earlier eras may come late."""
+        era = int(text) if text.isdecimal() else 0
+        if era > self.era:
+            previous, self.era = self.era, era
+            self.on_new_era(era, previous)
+
     async def _exchange_json(
         self, method: str, path: str, value: t.Any, headers: dict[str, str]
     ) -> tuple[int, t.Any]:
@@ -126,6 +136,7 @@
         )
         async with self._client.exchange(request) as response:
             body = await response.read()
+        self._record_era(response.headers.get(ERA_HEADER, "0"))
         try:
             return response.status, json.loads(body)
         except ValueError as error:
--- a/src/foxtailsaddle/app/_application.py
+++ b/src/foxtailsaddle/app/_application.py
@@ -22,6 +22,7 @@
 from ._peering import Peering
 from ._plain_gateway import PlainGateway
 from ._request_context import RequestRegistry
+from ._restore_monitor import RestoreMonitor
 from ._router import Router
 from ._settings_manager import SettingsManager
 
@@ -49,7 +50,8 @@
         suspect_s = SUSPECT_AFTER_HEARTBEATS * env.settings.heartbeat_s
         self.members = Members(_initial_member(env), suspect_s)
         self.liveness = Liveness(env.settings.leave_bound_s)
-        self.settings_manager = SettingsManager(env, self.members)
+        self.restore_monitor = RestoreMonitor(env.platform, env.clock)
+        self.settings_manager = SettingsManager(env, self.members, self.restore_monitor)
         self.router = Router(env, self.settings_manager, self.members, self.liveness)
         self.rate_limiter = RateLimiter(env, self.members)
         self.crash_quarantine = CrashQuarantine(env, self.members)
@@ -67,7 +69,7 @@
             self.rate_limiter,
             self.crash_quarantine,
         )
-        self.order_sender = OrderSender(env)
+        self.order_sender = OrderSender(env, self.restore_monitor)
         self.model_placement = ModelPlacement(
             env, self.settings_manager, self.members, self.liveness, self.order_sender
         )
@@ -123,7 +125,7 @@
     def _build(self, background: trio.Nursery) -> None:
         attempt_runner = AttemptRunner(self.env, self.router, background)
         group_runner = GroupRunner(self.env, self.router, self.liveness, attempt_runner)
-        self.ledger = IdempotencyLedger(self.env, background)
+        self.ledger = IdempotencyLedger(self.env, background, self.restore_monitor)
         self.model_gateway = ModelGateway(
             self.env,
             self.settings_manager,
--- a/src/foxtailsaddle/app/_idempotency_ledger.py
+++ b/src/foxtailsaddle/app/_idempotency_ledger.py
@@ -19,6 +19,7 @@
 from ..ports import Row
 from ..verdicts import Verdict
 from ._environment import Environment
+from ._restore_monitor import RestoreMonitor
 
 logger = logging.getLogger("foxtailsaddle.ledger")
 
@@ -27,7 +28,8 @@
 RETRY_PAUSE_S = 0.2
 MAX_RETRY_PAUSE_S = 5.0
 IN_PROGRESS_RETRY_AFTER_S = 1.0
-MS_PER_S = 1000
+REWRITE_WINDOW_S = 5.0  # all instances notice a restore and write within it
+RECENT_MS = 60_000  # older entries are in every backup
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,13 +57,24 @@
     """Writes a claim before a call is sent, and its outcome afterwards.
 
     :param background: runs closing writes until the platform accepts them.
+    After a restore of the platform, instances write their recent entries again, and
+    no key is claimed meanwhile.
+
     :ivar pending_writes: number of closing writes that are not finished.
     """
 
-    def __init__(self, env: Environment, background: trio.Nursery) -> None:
+    def __init__(
+        self,
+        env: Environment,
+        background: trio.Nursery,
+        restore_monitor: RestoreMonitor,
+    ) -> None:
         self._env = env
         self._background = background
+        self._restore_monitor = restore_monitor
+        self._recent_by_key: dict[str, Entry] = {}
         self.pending_writes = 0
+        restore_monitor.on_restore.append(self._rewrite_in_background)
 
     async def claim(self, entry: Entry) -> Claim:
         """Insert a DISPATCHED entry, or return the result of an earlier call.
@@ -71,12 +84,28 @@
         :raises OutcomeUnknownError: the outcome of an earlier call was lost.
         :raises PlatformUnavailableError: the key could not be claimed.
         """
+        self._check_not_restoring()
+        era = self._restore_monitor.era
         try:
-            return await self._claim(entry)
+            claim = await self._claim(entry)
         except trio.Cancelled:
             # The insert may still reach the platform, but the claim will not be used.
             self._release_in_background(entry, expected_version=0)
             raise
+        if self._restore_monitor.era != era and not claim.is_repeat:
+            # The entry of an earlier call may not be written again yet.
+            self._release_in_background(entry, claim.version)
+        self._check_not_restoring()
+        return claim
+
+    def _check_not_restoring(self) -> None:
+        remaining_s = REWRITE_WINDOW_S - self._restore_monitor.elapsed_s()
+        if remaining_s > 0:
+            raise PlatformUnavailableError(
+                "the platform was restored from a backup; earlier calls are recorded "
+                "again before new ones are accepted",
+                retry_after_s=remaining_s,
+            )
 
     async def _claim(self, entry: Entry) -> Claim:
         expected_version = 0
@@ -206,9 +235,9 @@
             return None
         except PreconditionFailedError:
             row = await self._read_row_or_none(closed)
-        if row is None or not self._is_claim_open(row, claim.entry):
-            return None
-        return row.version
+        if row is None:
+            return 0  # lost by a restore of the platform
+        return row.version if self._is_claim_open(row, claim.entry) else None
 
     def _is_claim_open(self, row: Row, entry: Entry) -> bool:
         found = Entry.from_row(row.value)
@@ -218,9 +247,39 @@
     async def _put(self, entry: Entry, expected_version: int) -> Row:
         key = row_key(entry.account, entry.service, entry.key)
         written = dataclasses.replace(entry, written_ms=self._env.clock.wall_ms())
-        return await self._env.platform.put(
+        row = await self._env.platform.put(
             TABLE, key, written.to_row(), expected_version
         )
+        self._remember(key, written)
+        return row
+
+    def _remember(self, key: str, entry: Entry) -> None:
+        """Keep an entry for as long as a restore may lose it."""
+        self._recent_by_key.pop(key, None)
+        self._recent_by_key[key] = entry
+        oldest_ms = entry.written_ms - RECENT_MS
+        for old_key, old in list(self._recent_by_key.items()):
+            if old.written_ms >= oldest_ms:
+                break
+            del self._recent_by_key[old_key]
+
+    def _rewrite_in_background(self) -> None:
+        for key, entry in list(self._recent_by_key.items()):
+            self._background.start_soon(self._rewrite, key, entry)
+
+    async def _rewrite(self, key: str, entry: Entry) -> None:
+        """Write an entry again if the platform has lost it."""
+        while True:
+            entry = self._recent_by_key.get(key, entry)
+            try:
+                await self._env.platform.put(TABLE, key, entry.to_row(), 0)
+                logger.info("ledger: lost entry written again", extra={"key": key})
+                return
+            except PreconditionFailedError:
+                return
+            except FoxtailsaddleError as error:
+                logger.info("ledger: not rewritten yet", extra={"why": error.message})
+                await trio.sleep(RETRY_PAUSE_S)
 
     async def _read_row(self, entry: Entry) -> Row:
         row = await self._read_row_or_none(entry)
--- a/src/foxtailsaddle/app/_operator_api.py
+++ b/src/foxtailsaddle/app/_operator_api.py
@@ -211,4 +211,6 @@
 
 
 def _revision_body(revision: Revision) -> dict[str, t.Any]:
-    return dataclasses.asdict(revision)
+    fields = dataclasses.asdict(revision)
+    del fields["document"]
+    return fields
--- a/src/foxtailsaddle/app/_settings_manager.py
+++ b/src/foxtailsaddle/app/_settings_manager.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ..core import Members, Revision, RevisionLog
+from ..core import NUMBERS_PER_ERA, Members, Revision, RevisionLog, next_number
 from ..errors import (
     FoxtailsaddleError,
     NotFoundError,
@@ -19,6 +19,7 @@
 )
 from ..ports import Heartbeat, Row, SettingsReply, SettingsRequest
 from ._environment import Environment
+from ._restore_monitor import RestoreMonitor
 
 logger = logging.getLogger("foxtailsaddle.settings")
 
@@ -61,12 +62,24 @@
     :ivar log: the local revision with its settings and its confirmation.
     """
 
-    def __init__(self, env: Environment, members: Members) -> None:
+    def __init__(
+        self, env: Environment, members: Members, restore_monitor: RestoreMonitor
+    ) -> None:
         self._env = env
+        self._restore_monitor = restore_monitor
         self._members = members
         self.log = RevisionLog(env.settings.confirm_bound_s)
         self._head_read_at = float("-inf")
         self._peer_platform_age_by_id: dict[str, tuple[float, float]] = {}
+        self._is_snapshot_due = False
+        restore_monitor.on_restore.append(self._request_snapshot)
+
+    def _request_snapshot(self) -> None:
+        """Make the next read write a snapshot.
+
+        The platform may have lost revisions that are in force here.
+        """
+        self._is_snapshot_due = True
 
     @property
     def platform_age_s(self) -> float:
@@ -98,6 +111,7 @@
         started_at = self._env.clock.now()
         try:
             await self._read_platform()
+            await self._write_snapshot()
         except PlatformUnavailableError:
             self.confirm_from_peers()
             return
@@ -166,24 +180,46 @@
                 "this instance receives no heartbeats from a majority of the instances"
             )
         await self._read_platform()
+        self._check_no_newer_member()
         earlier_revision = await self._find_revision(change.id)
         if earlier_revision is not None:
             return earlier_revision
         if change.base != self.log.number:
             raise await self._make_conflict_error(change, self.log.number)
-        self.log.preview(change.patch, f'change "{change.id}"')
+        document, _ = self.log.preview(change.patch, f'change "{change.id}"')
+        era = self._restore_monitor.era
+        number = next_number(change.base, era)
+        is_first_of_era = number != change.base + 1
         revision = Revision(
-            change.base + 1,
+            number,
             change.id,
             change.author,
             change.patch,
             self._env.clock.wall_ms(),
+            document if is_first_of_era else None,
         )
         await self._insert_verified(revision, change)
+        self._is_snapshot_due |= number % REVISIONS_PER_SNAPSHOT == 0
+        if self._restore_monitor.era != era:
+            raise WriteOutcomeUnknownError(
+                f'the platform was restored while change "{change.id}" was written; '
+                f"query the change by its id"
+            )
         await self._read_platform()
         await self._write_snapshot()
         return revision
 
+    def _check_no_newer_member(self) -> None:
+        """Check that no instance has a revision that the platform no longer shows.
+
+        :raises PlatformUnavailableError: one has, and its settings are fetched first.
+        """
+        members = self._members.live(self._env.clock.now())
+        if any(member.revision > self.log.number for member in members):
+            raise PlatformUnavailableError(
+                "another instance has newer settings, which are being fetched"
+            )
+
     async def history(self, after: int) -> list[Revision]:
         """Return the accepted revisions with numbers above ``after``."""
         found: list[Revision] = []
@@ -209,7 +245,9 @@
         return found
 
     async def _find_revision(self, change_id: str) -> Revision | None:
-        after = max(0, self.log.number - CHANGE_SEARCH_REVISIONS)
+        after = self.log.number - CHANGE_SEARCH_REVISIONS
+        if self.log.number % NUMBERS_PER_ERA < CHANGE_SEARCH_REVISIONS:
+            after = 0  # the last ones before a restore have far lower numbers
         for revision in await self.history(after):
             if revision.change == change_id:
                 return revision
@@ -287,10 +325,18 @@
             await self._read_snapshot()
         while True:
             rows = await self._env.platform.scan(TABLE, _row_key(self.log.number))
+            previous_number = self.log.number
             for row in rows:
                 self.log.apply(Revision(**row.value))
             if not rows:
                 return
+            if self.log.number == previous_number:
+                # The missing ones come from a peer, or with a later document.
+                logger.warning(
+                    "settings: revisions are missing",
+                    extra={"after": previous_number, "next": rows[0].key},
+                )
+                return
 
     async def _read_snapshot(self) -> None:
         row = await self._env.platform.get(SNAPSHOT_TABLE, SNAPSHOT_KEY)
@@ -298,12 +344,12 @@
             self.log.adopt(row.value["number"], row.value["document"])
 
     async def _write_snapshot(self) -> None:
-        """Write a snapshot every ``REVISIONS_PER_SNAPSHOT`` revisions.
+        """Write a snapshot if one is due.
 
         A starting instance reads it in place of the revisions before it, so a failed
         write only makes starts slower and is ignored.
         """
-        if self.log.number % REVISIONS_PER_SNAPSHOT:
+        if not self._is_snapshot_due:
             return
         try:
             row = await self._env.platform.get(SNAPSHOT_TABLE, SNAPSHOT_KEY)
@@ -313,6 +359,7 @@
                 await self._env.platform.put(
                     SNAPSHOT_TABLE, SNAPSHOT_KEY, value, expected
                 )
+            self._is_snapshot_due = False
         except FoxtailsaddleError:
             logger.info("settings: snapshot not written")
 
--- a/src/foxtailsaddle/core/_leases.py
+++ b/src/foxtailsaddle/core/_leases.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing as t
 
+from ._eras import next_number
 from ._ids import InstanceId
 
 
@@ -47,18 +48,25 @@
     now_ms: int,
     term_ms: int,
     skew_ms: int,
+    era: int = 0,
 ) -> Lease | None:
     """Return the acquired or renewed lease, or ``None`` if another run holds it.
 
     :param lease: the stored lease, if there is one.
     :param term_ms: time for which the new lease is valid.
     :param skew_ms: largest difference between the clocks of two instances.
+    :param era: the platform's era; a lease that is renewed in a new one gets a new
+        number, since the stored number may be older than the last assigned one.
     """
+    current = lease.number if lease is not None else 0
+    new_number = next_number(current, era)
     until_ms = now_ms + term_ms
     if lease is None:
-        return Lease(holder, incarnation, 1, until_ms)
+        return Lease(holder, incarnation, new_number, until_ms)
     if lease.is_held_by(holder, incarnation):
-        return dataclasses.replace(lease, until_ms=until_ms)
+        is_of_era = new_number == current + 1
+        number = current if is_of_era else new_number
+        return dataclasses.replace(lease, number=number, until_ms=until_ms)
     if now_ms <= lease.until_ms + skew_ms:
         return None
-    return Lease(holder, incarnation, lease.number + 1, until_ms)
+    return Lease(holder, incarnation, new_number, until_ms)
--- a/src/foxtailsaddle/core/_revisions.py
+++ b/src/foxtailsaddle/core/_revisions.py
@@ -20,6 +20,8 @@
     :param change: id chosen by its author, who can query it when the answer was lost.
     :param patch: JSON merge patch (RFC 7396) on the document before it.
     :param at_ms: wall-clock time in milliseconds.
+    :param document: all settings with the patch applied, in the first revision after
+        a restore of the platform, since the revisions before it may be lost.
     """
 
     number: int
@@ -27,6 +29,7 @@
     author: str
     patch: Document
     at_ms: int
+    document: Document | None = None
 
 
 class RevisionLog:
@@ -49,7 +52,12 @@
         self._confirmed_at = float("-inf")
 
     def apply(self, revision: Revision) -> bool:
-        """Apply the next revision; return false if this one is not the next."""
+        """Apply the next revision; return false if this one can't be applied.
+
+        A revision with a document can follow any earlier one.
+        """
+        if revision.document is not None:
+            return self.adopt(revision.number, revision.document)
         if revision.number != self.number + 1:
             return False
         document, tree = self.preview(revision.patch, f"revision {revision.number}")
--- a/src/foxtailsaddle/forward/_peers.py
+++ b/src/foxtailsaddle/forward/_peers.py
@@ -86,6 +86,8 @@
     :ivar on_list_changed: called with each change of the list that a peer sends.
     :ivar on_datagram_received: called with the sender of each datagram, before the
         updates in it are applied.
+    :ivar on_rejoined: called when this instance hears another one, after it has
+        forgotten most others because it was cut off from them.
     """
 
     def __init__(
@@ -102,12 +104,14 @@
         self._sock: trio.socket.SocketType | None = None
         self._last_broadcast_at = 0.0
         self._is_dropping = False
+        self._forgotten = 0
         self.dropped_updates = 0
         self.leaving = False
         self.reads_store = False
         self.list_version = NO_VERSION
         self.on_list_changed: t.Callable[[ListChanged], None] = lambda _: None
         self.on_datagram_received: t.Callable[[Peer], None] = lambda _: None
+        self.on_rejoined: t.Callable[[], None] = lambda: None
 
     @property
     def port(self) -> int:
@@ -251,6 +255,7 @@
             self._fleet.engine_loads.remove_jobs_of(peer.id, now)
         if now - max(peer.last_heard_at, peer.added_at) > FORGET_AFTER_S:
             del self._peer_by_id[peer.id]
+            self._forgotten += bool(peer.last_heard_at)
             logger.info("peers: forgotten", extra={"peer": peer.id})
 
     def _is_live(self, peer: Peer) -> bool:
@@ -343,6 +348,9 @@
         self.on_datagram_received(peer)
         if is_new:
             logger.info("peers: heard", extra={"peer": peer.id})
+            if self._forgotten > len(self._peer_by_id):
+                self._forgotten = 0
+                self.on_rejoined()
             self._send_own_jobs(address)
         elif header.wants_reply:
             self._send(address, [], wants_reply=False)
--- a/src/foxtailsaddle/forward/_registration.py
+++ b/src/foxtailsaddle/forward/_registration.py
@@ -12,19 +12,26 @@
 logger = logging.getLogger("foxtailsaddle.store")
 
 RETRY_PAUSE_S = 1.0
-LEASE_RENEW_INTERVAL_S = 30.0
-INSTANCE_LEASE_MS = 100_000
+READER_RENEW_INTERVAL_S = 30.0
+LEASE_RENEW_INTERVAL_S = 60.0
+INSTANCE_LEASE_MS = 200_000
+MS_PER_S = 1000
 
 
 class InstanceRegistration:
     """Renews this instance's row, and reports the other instances with a valid row.
 
+    Later instances find this one by its row, and announce themselves to it. So only
+    the readers of the store read the rows again, to delete expired ones and to find
+    instances that were cut off.
+
     :param table: the table of the instances' rows.
     :param host: address of this instance, for its row.
     :param on_found: called with the id and host of each other instance.
     :param on_version: called with the version of each answer of the store.
     :param retry_pause_s: returns the pause after a failure, scaled by this instance's
         rank among the instances.
+    :param reads_store: returns whether this instance is a reader of the store.
     """
 
     def __init__(
@@ -36,6 +43,7 @@
         on_found: t.Callable[[InstanceId, str], None],
         on_version: t.Callable[[StoreVersion], object],
         retry_pause_s: t.Callable[[float], float],
+        reads_store: t.Callable[[], bool],
     ) -> None:
         self._store = store
         self._table = table
@@ -44,32 +52,39 @@
         self._on_found = on_found
         self._on_version = on_version
         self._retry_pause_s = retry_pause_s
+        self._reads_store = reads_store
+        self._store_clock_offset_ms: float | None = None
         self._renewal_requested = trio.Event()
 
     def request_renewal(self) -> None:
-        """Write the row again now; a restored store may have lost it."""
+        """Write the row and read those of the others again now."""
+        self._store_clock_offset_ms = None
         self._renewal_requested.set()
 
     async def run(self) -> None:
         """Renew the row until cancelled."""
-        is_first = True
         while True:
             self._renewal_requested = trio.Event()
             try:
-                await self._renew(is_first)
-                is_first = False
+                await self._renew()
             except FoxtailsaddleError as error:
                 logger.info("store: not registered", extra={"why": error.message})
                 await trio.sleep(self._retry_pause_s(RETRY_PAUSE_S))
                 continue
-            with trio.move_on_after(LEASE_RENEW_INTERVAL_S):
+            with trio.move_on_after(self._renew_interval_s()):
                 await self._renewal_requested.wait()
 
-    async def _renew(self, is_first: bool) -> None:
-        rows = await self._read()
-        expired_keys = self._report_found(rows)
-        puts = {self._instance: f"{self._host} {rows.now_ms}".encode()}
-        self._on_version(await self._store.write(self._table, puts, expired_keys))
+    def _renew_interval_s(self) -> float:
+        return (
+            READER_RENEW_INTERVAL_S if self._reads_store() else LEASE_RENEW_INTERVAL_S
+        )
+
+    async def _renew(self) -> None:
+        is_first = self._store_clock_offset_ms is None
+        expired_keys = []
+        if is_first or self._reads_store():
+            expired_keys = self._report_found(await self._read())
+        await self._write(expired_keys)
         if is_first:
             # Of two instances that start together, the one that writes later
             # sees both rows.
@@ -78,8 +93,15 @@
     async def _read(self) -> StoredRows:
         rows = await self._store.read(self._table)
         self._on_version(rows.version)
+        self._store_clock_offset_ms = rows.now_ms - trio.current_time() * MS_PER_S
         return rows
 
+    async def _write(self, expired_keys: list[str]) -> None:
+        now_ms = int(trio.current_time() * MS_PER_S + self._store_clock_offset_ms)
+        puts = {self._instance: f"{self._host} {now_ms}".encode()}
+        written = await self._store.write(self._table, puts, expired_keys)
+        self._on_version(written.version)
+
     def _report_found(self, rows: StoredRows) -> list[str]:
         """Report instances with a valid lease; return the keys of expired rows."""
         expired_keys = []
--- a/src/foxtailsaddle/forward/_store_sync.py
+++ b/src/foxtailsaddle/forward/_store_sync.py
@@ -31,6 +31,8 @@
 LIST_FEED_PAUSE_S = 0.4
 MAX_LIST_FEED_PAUSE = 0.2  # of the drain timeout
 CLEANUP_INTERVAL_S = 0.25
+MIN_FEED_WAIT_S = 1.0
+FEED_DETECTION_S = 1.0  # to notice, after a feed's wait, that its connection is silent
 CONFIGURATION_LAG_S = 0.3  # for a read of the store, before a peer is asked
 LIST_LAG_S = 0.9  # longer than the pauses between a reader's calls
 MAX_LIST_LAG = 0.45  # of the drain timeout
@@ -48,6 +50,8 @@
 
     :param new_store: opens a new connection to the store.
     :param host: address of this instance, for its row in the store.
+    :param catch_up_s: seconds after a disruption within which this instance must know
+        again what has changed.
     :param drain_timeout_s: seconds within which all instances must know of an endpoint
         that drains.
     """
@@ -60,7 +64,9 @@
         new_store: t.Callable[[], Store],
         host: str,
         drain_timeout_s: float,
+        catch_up_s: float,
     ) -> None:
+        self._feed_wait_s = max(MIN_FEED_WAIT_S, catch_up_s - FEED_DETECTION_S)
         self._list_lag_s = min(LIST_LAG_S, MAX_LIST_LAG * drain_timeout_s)
         self._fleet = fleet
         self._peers = peers
@@ -90,7 +96,9 @@
             peers.add,
             self._accept_version,
             self._retry_pause_s,
+            lambda: peers.reads_store,
         )
+        peers.on_rejoined = self._registration.request_renewal
         peers.on_list_changed = self._apply_list_change
         peers.on_datagram_received = self._check_peer_versions
 
@@ -114,6 +122,7 @@
         return TableFollower(
             self._new_store(),
             table,
+            self._feed_wait_s,
             pause_s,
             on_rows,
             self._accept_version,
--- a/src/foxtailsaddle/forward/_table_follower.py
+++ b/src/foxtailsaddle/forward/_table_follower.py
@@ -15,7 +15,6 @@
 
 logger = logging.getLogger("foxtailsaddle.store")
 
-FEED_WAIT_S = 2.0
 RETRY_PAUSE_S = 0.25
 MAX_RETRY_PAUSE_S = 1.0
 RETRY_GROWTH = 1.5
@@ -25,6 +24,8 @@
 class TableFollower:
     """Reads a table, then follows its changes; reads it again if some were missed.
 
+    :param feed_wait_s: longest time that the store holds back an answer without
+        changes, in seconds; a connection that has gone silent is noticed after it.
     :param pause_s: shortest time between two calls, in seconds; each call is charged.
     :param on_rows: called with rows, and whether they are the whole table.
     :param accept_version: called with the version of each answer; returns false for a
@@ -42,6 +43,7 @@
         self,
         store: Store,
         table: str,
+        feed_wait_s: float,
         pause_s: float,
         on_rows: t.Callable[[StoredRows, bool], None],
         accept_version: t.Callable[[StoreVersion], bool],
@@ -51,6 +53,7 @@
     ) -> None:
         self._store = store
         self._table = table
+        self._feed_wait_s = feed_wait_s
         self._pause_s = pause_s
         self._on_rows = on_rows
         self._accept_version = accept_version
@@ -82,7 +85,7 @@
                 continue
             self._is_read_requested = False
             try:
-                await self._read_next(0.0 if is_standby else FEED_WAIT_S)
+                await self._read_next(0.0 if is_standby else self._feed_wait_s)
             except HistoryGoneError as error:
                 logger.info(
                     "store: reads anew",
--- a/src/foxtailsaddle/platform/_store.py
+++ b/src/foxtailsaddle/platform/_store.py
@@ -71,7 +71,7 @@
 
     async def write(
         self, table: str, value_by_key: dict[str, bytes], deleted_keys: list[str]
-    ) -> StoreVersion:
+    ) -> StoredRows:
         """Write and delete rows of a table in one transaction."""
         body = {
             "expected_revision": [],
@@ -89,7 +89,8 @@
             raise PlatformUnavailableError(error.message) from error
         except ExchangeBrokenError as error:
             raise WriteOutcomeUnknownError(error.message) from error
-        return StoreVersion(_decode_era(reply), _decode_json(reply)["ver"])
+        page = _decode_page(reply)
+        return StoredRows([], page.version, page.now_ms)
 
     async def aclose(self) -> None:
         """Close the connection."""
@@ -146,7 +147,7 @@
     era = _decode_era(reply)
     try:
         return _Page(
-            rows=[_decode_row(item, era) for item in fields["rows"]],
+            rows=[_decode_row(item, era) for item in fields.get("rows", ())],
             version=StoreVersion(era, int(fields["ver"])),
             now_ms=int(fields["now_ms"]),
             has_more=bool(fields.get("more_pages")),
--- a/src/foxtailsaddle/ports/_front.py
+++ b/src/foxtailsaddle/ports/_front.py
@@ -142,8 +142,11 @@
 
     async def write(
         self, table: str, value_by_key: dict[str, bytes], deleted_keys: list[str]
-    ) -> StoreVersion:
-        """Write and delete rows in one transaction; return the store's new version."""
+    ) -> StoredRows:
+        """Write and delete rows in one transaction.
+
+        :returns: the store's new version and its clock, without rows.
+        """
 
     async def aclose(self) -> None:
         """Close the connection."""
--- a/src/foxtailsaddle/ports/_platform.py
+++ b/src/foxtailsaddle/ports/_platform.py
@@ -29,7 +29,16 @@
 
 
 class Platform(t.Protocol):
-    """Client of the platform's table service, which stores all durable data."""
+    """Client of the platform's table service, which stores all durable data.
+
+    :ivar era: increases each time the platform is restored from a backup; 0 before the
+        first answer.
+    :ivar on_new_era: called with the new and the previous era as soon as an answer
+        names it.
+    """
+
+    era: int
+    on_new_era: t.Callable[[int, int], None]
 
     async def get(self, table: str, key: str) -> Row | None:
         """Return a row.
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -33,6 +33,20 @@
     late_by_s: float = 3.0
 
 
+@dataclasses.dataclass(frozen=True)
+class LoggedWrite:
+    """A write of one row.
+
+    :param at: time of the write, in seconds on trio's clock.
+    """
+
+    at: float
+    table: str
+    key: str
+    version: int
+    value: t.Any
+
+
 class PlatformModel:
     """The platform without its HTTP API."""
 
@@ -44,6 +58,8 @@
         self.objects: dict[str, bytes] = {}
         self.writes = 0
         self.reads = 0
+        self.era = 1
+        self._log: list[LoggedWrite] = []
         self._registrations: list[tuple[float, dict[str, t.Any]]] = []
 
     def put(self, table: str, key: str, value: t.Any, expected: int) -> int | None:
@@ -55,9 +71,29 @@
         if version != expected:
             return None
         self.writes += 1
-        self.tables[table][key] = (version + 1, value)
+        self._set_row(LoggedWrite(trio.current_time(), table, key, version + 1, value))
         return version + 1
 
+    def _set_row(self, write: "LoggedWrite") -> None:
+        self._log.append(write)
+        self.tables[write.table][write.key] = (write.version, write.value)
+
+    def restore(self, seconds_back: float) -> None:
+        """Return to the state of some seconds ago, in a new era.
+
+        Row versions that are lost are assigned again.
+        """
+        restored_to = trio.current_time() - seconds_back
+        kept = [write for write in self._log if write.at <= restored_to]
+        self._log = []
+        self.tables.clear()
+        for write in kept:
+            self._set_row(write)
+        self._registrations = [
+            item for item in self._registrations if item[0] <= restored_to
+        ]
+        self.era += 1
+
     def scan(self, table: str, after: str) -> list[dict[str, t.Any]]:
         """Return a page of the rows after a key, in key order."""
         self.reads += 1
@@ -87,8 +123,22 @@
         self.model = model
         self._weights_lock = trio.Lock()
 
-    def asgi(self) -> Starlette:
-        """Return the ASGI application."""
+    def asgi(self) -> t.Any:
+        """Return the ASGI application; all its answers name the era."""
+        app = self._routes()
+
+        async def with_era(scope: t.Any, receive: t.Any, send: t.Any) -> None:
+            async def send_with_era(message: t.Any) -> None:
+                if message["type"] == "http.response.start":
+                    era = str(self.model.era).encode()
+                    message["headers"] = [*message["headers"], (b"store-era", era)]
+                await send(message)
+
+            await app(scope, receive, send_with_era)
+
+        return with_era
+
+    def _routes(self) -> Starlette:
         row_path = "/tables/{table}/{key:path}"
         object_path = "/objects/{key:path}"
         return Starlette(
--- a/tests/test_forward_discovery.py
+++ b/tests/test_forward_discovery.py
@@ -113,6 +113,17 @@
         await trio.sleep(2.0)
         assert world.rows.calls["/rows-feed"] <= 3 * 2 * 3
 
+    @in_world(plain=1, engines=0, instances=6)
+    async def test_only_readers_read_the_rows_of_the_instances_again(self, world):
+        await eventually(
+            lambda: sum(app.peers.reads_store for app in world.apps) == 3, within_s=6.0
+        )
+        follower = next(app for app in world.apps if not app.peers.reads_store)
+        world.rows.calls.clear()
+        await follower.store_sync._registration._renew()
+        assert world.rows.calls["/rows-get"] == 0
+        assert world.rows.calls["/rows-tx"] == 1
+
     @in_world(plain=1, engines=0, instances=6)
     async def test_a_change_reaches_all_instances_within_a_second(self, world):
         await eventually(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from foxtailsaddle.core import EndpointId, InstanceId, Job, JobId, RetryWindow
 from foxtailsaddle.forward._datagrams import (
@@ -12,6 +13,7 @@
 )
 from foxtailsaddle.forward._fleet import FleetState
 from foxtailsaddle.forward._peers import (
+    FORGET_AFTER_S,
     LARGE_FLEET_PEERS,
     MAX_PENDING_UPDATES,
     Peers,
@@ -107,3 +109,25 @@
 
         trio.run(main)
         assert peers.dropped_updates == 3
+
+
+class TestIsolation:
+    """Load pattern: an instance is cut off until all others have forgotten it."""
+
+    def test_an_instance_that_hears_others_again_looks_for_the_rest(self, peers):
+        rejoined = []
+
+        async def main():
+            peers.on_rejoined = lambda: rejoined.append(True)
+            await trio.sleep(1.0)
+            for number in range(3):
+                sender = InstanceId(f"p{number}")
+                peers._handle_header(greeting(1, sender), ADDRESS)
+            await trio.sleep(2 * FORGET_AFTER_S)
+            for peer in list(peers._peer_by_id.values()):
+                peers._expire_if_silent(peer, trio.current_time())
+            assert not rejoined
+            peers._handle_header(greeting(1, InstanceId("p1")), ADDRESS)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        assert rejoined == [True]
