Estimates of engines in a module of their own; a start without fire

`serve-platform` without options no longer loads fire (with asyncio behind it: 385 instead of 413 modules; a fifth of the import time by -X importtime on a busy box). The engines whose reports an instance polls are worked out again only when members or engines change.

--- a/src/foxtailsaddle/cli/_main.py
+++ b/src/foxtailsaddle/cli/_main.py
@@ -4,8 +4,6 @@
 import sys
 import typing as t
 
-import fire
-
 from ..errors import FoxtailsaddleError
 
 EXIT_FAILED = 1
@@ -138,6 +136,12 @@
     Errors are printed to standard error with their code and set the exit status.
     """
     try:
+        if sys.argv[1:] == ["serve-platform"]:
+            # Hundreds of instances may start at once, and fire takes a fifth of that.
+            Commands().serve_platform()
+            return
+        import fire
+
         fire.Fire(Commands(), name="foxtailsaddle")
     except FoxtailsaddleError as error:
         code = getattr(error, "remote_code", error.code)
--- a/src/foxtailsaddle/core/_engine_placement.py
+++ b/src/foxtailsaddle/core/_engine_placement.py
@@ -12,20 +12,24 @@
 
 import dataclasses
 import heapq
-import math
 import typing as t
 
-from ._engine_loads import EngineLoad, PendingFirstEvent
+from ._engine_estimates import (
+    LATE_COST,
+    MAX_MEMORY_UTILIZATION,
+    NORMAL_FAILURE_SHARE,
+    EngineCandidate,
+    EngineEstimate,
+    PromptDemand,
+    lateness,
+    total_postponement_cost,
+)
 from ._engine_time import EngineTime
 from ._ids import DataCentre, EndpointId
 
 OUTPUT_WEIGHT = 10  # prompt tokens that one output token counts as
 WEIGHT_UNIT_TOKENS = 14_000
 
-LATE_COST = 0.75  # share of an answer's weight that is lost when it is late
-LATENESS_RAMP_START = 0.7  # share of a bound at which lateness becomes possible
-LATENESS_RAMP_END = 1.05  # share of a bound at which lateness is certain
-OVERRUN_LATENESS = 0.005  # added for each further multiple of the bound
 FIRST_TIGHT_STREAM_COST = 0.03  # keeps other engines free for long prompts
 FULL_ENGINE_COST = 0.12  # other instances may be placing on the same engine
 FREE_SLOT_UTILIZATION = 0.5  # up to which a further request costs nothing
@@ -36,52 +40,11 @@
 WAIT_COST = 0.04  # share of the weight, for a first event exactly at its target
 OVER_MEMORY_COST = 0.6  # share of the weight, where the request exceeds free memory
 TIGHT_GAP_MS = 400.0  # streams with no longer permitted gap count as tight
-DEFAULT_SLOT_WAIT_MS = 400.0  # per queued request, where no end is predicted
-DECODE_TIME_FACTOR = 1.1  # prefills of other prompts interrupt the decoding
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 10, 12, 14, 17)
 MIN_SPLIT_PREFILL_MS = 60.0  # shorter prefills are not split
-MAX_MEMORY_UTILIZATION = 0.97
 MAX_RESERVED_SHARE = 0.8  # of a helper's free memory, since its own requests grow
 STALL_COST = 0.5  # share of the weight, for a suspicion of 1
 MAX_HELPER_SLOWDOWN = 1.25
-NORMAL_FAILURE_SHARE = 0.0125  # of attempts; only the excess has a cost
-NETWORK_MS = 5.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PromptDemand:
-    """Size and time bounds of one streamed request.
-
-    :param output_tokens: expected length of the answer.
-    :param first_event_target_ms: time left until its first event is late.
-    :param gap_ms: longest permitted time between its events.
-    :param weight: value of an answer that is on time, see :func:`answer_weight`.
-    """
-
-    prompt_tokens: int
-    output_tokens: int
-    first_event_target_ms: float
-    gap_ms: float
-    weight: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineCandidate:
-    """An engine that a plan may use, with its present state as far as known.
-
-    :param slowdown: how many times slower than its published speed it is.
-    :param failure_share: expected share of failing attempts.
-    :param stall_suspicion: how likely it stalls shared prefills, from 0.
-    :param can_reserve: false when it has just refused to reserve memory.
-    """
-
-    id: EndpointId
-    data_centre: DataCentre
-    load: EngineLoad
-    slowdown: float = 1.0
-    failure_share: float = NORMAL_FAILURE_SHARE
-    stall_suspicion: float = 0.0
-    can_reserve: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,7 +97,7 @@
         0 (preferred) to 1.
     """
     planner = _Planner(demand, time, data_centre, instance_rank)
-    engines = [_EngineEstimate(candidate, planner) for candidate in candidates]
+    engines = [planner.estimate(candidate) for candidate in candidates]
     best: StreamPlan | None = None
     for parts in _part_counts(time.prefill_ms(demand.prompt_tokens), len(candidates)):
         plan = planner.plan(engines, parts)
@@ -149,125 +112,6 @@
     return [parts for parts in PART_COUNTS if parts <= engine_count]
 
 
-def lateness(taken_ms: float, bound_ms: float) -> float:
-    """Return the expected lateness of an event, from 0 (surely on time).
-
-    It is 1 where the bound will certainly be exceeded, and grows slowly after that.
-    """
-    if bound_ms <= 0:
-        return 1.0 + OVERRUN_LATENESS * taken_ms / 1000
-    share = taken_ms / bound_ms
-    if share <= LATENESS_RAMP_START:
-        return 0.0
-    ramp = min(
-        1.0,
-        (share - LATENESS_RAMP_START) / (LATENESS_RAMP_END - LATENESS_RAMP_START),
-    )
-    return ramp + OVERRUN_LATENESS * max(0.0, share - LATENESS_RAMP_END)
-
-
-def postponement_cost(pending: PendingFirstEvent, delay_ms: float) -> float:
-    """Return the cost of a first event that comes later by a delay."""
-    present_lateness = lateness(pending.due_ms, pending.target_ms)
-    new_lateness = lateness(pending.due_ms + delay_ms, pending.target_ms)
-    return LATE_COST * pending.weight * (new_lateness - present_lateness)
-
-
-class _EngineEstimate:
-    """Times and costs of one engine that are the same in every plan.
-
-    :ivar main_gap_ms: time between events if it is the main engine, without the
-        prefill of this prompt.
-    :ivar helper_gap_ms: the same if it is a helper.
-    :ivar streams: (permitted gap, total weight, present lateness) of its streams,
-        grouped by the gap.
-    :ivar main_cost: fixed cost if it is the main engine.
-    :ivar start_ms: time to the first event without the prefill of this prompt, if it
-        prefills the whole prompt; its pending prefills go first.
-    :ivar shared_start_ms: the same if it prefills a part; that goes ahead of its
-        pending prefills, except for those of a pass that also decodes.
-    :ivar helper_start_ms: the same if it is a helper, which needs no slot.
-    :ivar helper_cost: fixed cost if it is a helper.
-    :ivar safe_gap_ms: time between events up to which no stream can be late.
-    """
-
-    __slots__ = (
-        "main_gap_ms",
-        "helper_gap_ms",
-        "streams",
-        "engine",
-        "main_cost",
-        "start_ms",
-        "shared_start_ms",
-        "helper_start_ms",
-        "free_tokens",
-        "slowdown",
-        "helper_cost",
-        "safe_gap_ms",
-        "slot_wait_ms",
-        "tie_break",
-        "decode_ms",
-    )
-
-    def __init__(self, engine: EngineCandidate, planner: "_Planner") -> None:
-        load = engine.load
-        time = planner.time
-        decoding = min(load.decoding_requests, time.spec.slots)
-        prompt_tokens = planner.demand.prompt_tokens
-        self.engine = engine
-        self.slowdown = engine.slowdown
-        context = load.context_tokens * min(
-            1.0, time.spec.slots / max(1, load.requests)
-        )
-        pass_ms = time.pass_ms(decoding, context)
-        first_pass_ms = time.pass_ms(decoding + 1, context)
-        decode_pass_ms = time.pass_ms(decoding + 1, context + prompt_tokens)
-        self.decode_ms = DECODE_TIME_FACTOR * time.decode_ms(
-            planner.demand.output_tokens, decoding + 1, context + prompt_tokens
-        )
-        remaining_pass_ms = first_pass_ms / 2 if load.decoding_requests else 0.0
-        self.slot_wait_ms = _slot_wait_ms(load, time.spec.slots)
-        idle_start_ms = NETWORK_MS + self.slowdown * (remaining_pass_ms + first_pass_ms)
-        pending_ms = self.slowdown * load.prefill_ms
-        pass_pending_ms = pending_ms if load.decoding_requests else 0.0
-        self.start_ms = idle_start_ms + pending_ms + self.slot_wait_ms
-        self.helper_start_ms = idle_start_ms + pass_pending_ms
-        self.shared_start_ms = self.helper_start_ms + self.slot_wait_ms
-        self.main_gap_ms = self.slowdown * (decode_pass_ms + load.prefill_ms)
-        self.helper_gap_ms = self.slowdown * (pass_ms + load.prefill_ms)
-        weight_by_gap: dict[float, float] = {}
-        for gap_ms, weight in load.weighted_gaps_ms:
-            weight_by_gap[gap_ms] = weight_by_gap.get(gap_ms, 0.0) + weight
-        self.streams = [
-            (gap_ms, weight, lateness(self.helper_gap_ms, gap_ms))
-            for gap_ms, weight in weight_by_gap.items()
-        ]
-        self.safe_gap_ms = LATENESS_RAMP_START * min(weight_by_gap, default=math.inf)
-        capacity = int(time.spec.kv_tokens * MAX_MEMORY_UTILIZATION)
-        self.free_tokens = max(0, capacity - load.kv_tokens)
-        failure_cost = planner.failure_cost(engine)
-        self.main_cost = failure_cost + planner.decode_cost(engine, self.free_tokens)
-        stall_cost = STALL_COST * engine.stall_suspicion * planner.demand.weight
-        self.helper_cost = HELPER_COST + failure_cost + stall_cost
-        self.tie_break = load.prefill_ms + load.context_tokens / 1000
-
-    def postponement_cost(self, part_ms: float) -> float:
-        """Return the cost to the prompts that wait for this engine's prefills."""
-        return sum(
-            postponement_cost(pending, self.slowdown * part_ms)
-            for pending in self.engine.load.pending_first_events
-        )
-
-    def delay_cost(self, event_gap_ms: float) -> float:
-        """Return the cost to the present streams if events come this far apart."""
-        if event_gap_ms <= self.safe_gap_ms:
-            return 0.0
-        return LATE_COST * sum(
-            weight * (lateness(event_gap_ms, gap_ms) - present_lateness)
-            for gap_ms, weight, present_lateness in self.streams
-        )
-
-
 class _Planner:
     """Builds the plans for one request and calculates their costs."""
 
@@ -283,8 +127,19 @@
         self._data_centre = data_centre
         self._instance_rank = instance_rank
 
+    def estimate(self, engine: EngineCandidate) -> EngineEstimate:
+        """Return an engine's estimate, with the costs that all plans share."""
+        estimate = EngineEstimate(engine, self.demand, self.time)
+        failure_cost = self.failure_cost(engine)
+        stall_cost = STALL_COST * engine.stall_suspicion * self.demand.weight
+        estimate.main_cost = failure_cost + self.decode_cost(
+            engine, estimate.free_tokens
+        )
+        estimate.helper_cost = HELPER_COST + failure_cost + stall_cost
+        return estimate
+
     def plan(
-        self, engines: t.Sequence[_EngineEstimate], parts: int
+        self, engines: t.Sequence[EngineEstimate], parts: int
     ) -> StreamPlan | None:
         """Return the cheapest plan that splits the prefill into ``parts``.
 
@@ -330,8 +185,8 @@
 
     def _build_plan(
         self,
-        main: _EngineEstimate,
-        helpers: list[_EngineEstimate],
+        main: EngineEstimate,
+        helpers: list[EngineEstimate],
         part_ms: float,
         reserved: dict[EndpointId, int],
     ) -> StreamPlan:
@@ -345,7 +200,7 @@
         cost += self._main_delay_cost(main, part_ms, sum(reserved.values()))
         cost += sum(self._helper_cost(helper, part_ms) for helper in helpers)
         if helpers:
-            cost += _total_postponement_cost((main, *helpers), part_ms)
+            cost += total_postponement_cost((main, *helpers), part_ms)
         return StreamPlan(
             endpoint=main.engine.id,
             helpers=tuple(helper.engine.id for helper in helpers),
@@ -361,11 +216,11 @@
 
     def _choose_helpers(
         self,
-        engines: t.Sequence[_EngineEstimate],
-        main: _EngineEstimate,
+        engines: t.Sequence[EngineEstimate],
+        main: EngineEstimate,
         count: int,
         part_ms: float,
-    ) -> list[_EngineEstimate]:
+    ) -> list[EngineEstimate]:
         if not count:
             return []
         available = [
@@ -388,7 +243,7 @@
         return has_slot and engine.slowdown < MAX_HELPER_SLOWDOWN
 
     def _helper_sort_key(
-        self, estimate: _EngineEstimate, part_ms: float
+        self, estimate: EngineEstimate, part_ms: float
     ) -> tuple[float, float]:
         first_event_cost = self._first_event_cost(
             estimate.helper_start_ms + estimate.slowdown * part_ms
@@ -400,12 +255,12 @@
             estimate.engine.load.prefill_ms,
         )
 
-    def _helper_cost(self, estimate: _EngineEstimate, part_ms: float) -> float:
+    def _helper_cost(self, estimate: EngineEstimate, part_ms: float) -> float:
         event_gap_ms = estimate.helper_gap_ms + estimate.slowdown * part_ms
         return estimate.helper_cost + estimate.delay_cost(event_gap_ms)
 
     def _main_sort_key(
-        self, estimate: _EngineEstimate, part_ms: float, is_shared: bool
+        self, estimate: EngineEstimate, part_ms: float, is_shared: bool
     ) -> tuple[float, float]:
         start_ms = _main_start_ms(estimate, is_shared)
         cost = (
@@ -418,7 +273,7 @@
         return cost, estimate.tie_break
 
     def _main_delay_cost(
-        self, main: _EngineEstimate, part_ms: float, reserved_tokens: int
+        self, main: EngineEstimate, part_ms: float, reserved_tokens: int
     ) -> float:
         event_gap_ms = main.main_gap_ms + main.slowdown * part_ms
         if reserved_tokens:
@@ -438,7 +293,7 @@
         return self.demand.prompt_tokens + self.demand.output_tokens
 
     def _reserve_memory(
-        self, main: _EngineEstimate, helpers: list[_EngineEstimate]
+        self, main: EngineEstimate, helpers: list[EngineEstimate]
     ) -> dict[EndpointId, int] | None:
         """Return the tokens of memory to reserve at each helper.
 
@@ -468,40 +323,9 @@
         return reserved if remaining_tokens <= 0 else None
 
 
-def _main_start_ms(estimate: _EngineEstimate, is_shared: bool) -> float:
+def _main_start_ms(estimate: EngineEstimate, is_shared: bool) -> float:
     return estimate.shared_start_ms if is_shared else estimate.start_ms
 
 
-def _total_postponement_cost(
-    estimates: t.Iterable[_EngineEstimate], part_ms: float
-) -> float:
-    """Return the cost to the prompts that wait for any of several engines.
-
-    A prompt that waits for more than one of them counts once.
-    """
-    pending_by_job = {
-        pending.job: (pending, estimate.slowdown * part_ms)
-        for estimate in estimates
-        for pending in estimate.engine.load.pending_first_events
-    }
-    return sum(
-        postponement_cost(pending, delay_ms)
-        for pending, delay_ms in pending_by_job.values()
-    )
-
-
-def _slot_wait_ms(load: EngineLoad, slots: int) -> float:
-    """Return the predicted time until one more request gets a slot.
-
-    Deprioritized requests that have not begun are not counted: they wait longer.
-    """
-    ahead = load.requests - load.deprioritized - slots
-    if ahead < 0:
-        return 0.0
-    if ahead < len(load.remaining_ms):
-        return load.remaining_ms[ahead]
-    return (1 + ahead) * DEFAULT_SLOT_WAIT_MS
-
-
 def _has_tight_streams(engine: EngineCandidate) -> bool:
     return any(gap_ms <= TIGHT_GAP_MS for gap_ms, _ in engine.load.weighted_gaps_ms)
--- a/src/foxtailsaddle/forward/_reports.py
+++ b/src/foxtailsaddle/forward/_reports.py
@@ -1,10 +1,11 @@
 """Polls the load reports of engines; each engine is polled by one instance."""
 
+import dataclasses
 import logging
 
 import trio
 
-from ..core import AttemptOutcome, ListedEndpoint, owner_of
+from ..core import AttemptOutcome, InstanceId, ListedEndpoint, owner_of
 from ..errors import FoxtailsaddleError, NothingSentError
 from ..ports import EngineControl
 from ._fleet import FleetState
@@ -18,6 +19,18 @@
 MIN_RECORDED_SLOWDOWN = 1.2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _OwnedEngines:
+    """The engines that this instance polls, and from what that was worked out.
+
+    Working it out takes a hash for each engine and member.
+    """
+
+    members: tuple[InstanceId, ...]
+    engines: tuple[ListedEndpoint, ...]
+    owned: list[ListedEndpoint]
+
+
 class ReportPoller:
     """Polls the load reports of the engines that this instance owns.
 
@@ -31,6 +44,7 @@
         self._fleet = fleet
         self._peers = peers
         self._engine_control = engine_control
+        self._owned = _OwnedEngines((), (), [])
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -44,14 +58,21 @@
         table = self._fleet.route_table
         if table is None:
             return []
-        members = [self._fleet.instance, *(peer.id for peer in self._peers.live())]
-        return [
+        members = (self._fleet.instance, *(peer.id for peer in self._peers.live()))
+        engines = tuple(
             entry
             for service in table.service_by_id.values()
             if service.engine is not None
             for entry in self._fleet.endpoints.usable(service.id)
-            if owner_of(entry.id, members) == self._fleet.instance
-        ]
+        )
+        if (members, engines) != (self._owned.members, self._owned.engines):
+            owned = [
+                entry
+                for entry in engines
+                if owner_of(entry.id, members) == self._fleet.instance
+            ]
+            self._owned = _OwnedEngines(members, engines, owned)
+        return self._owned.owned
 
     async def _poll(self, entry: ListedEndpoint) -> None:
         try:
