--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -96,6 +96,7 @@
                         self._break_store,
                         self._reconfigure,
                         self._drain_runner,
+                        self._restore_store,
                     )
                 )
                 nursery.start_soon(inject)
@@ -176,6 +177,20 @@
         await trio.sleep(self._rng.uniform(0.5, 4.0))
         await self.fleet.control_store("/knobs", **STORE_HEALTHY)
 
+    async def _restore_store(self) -> None:
+        """Let the store come back from a backup, then repeat what its writers wrote."""
+        seconds_back = self._rng.uniform(0.5, 5.0)
+        self._record_fault(f"store restored from {seconds_back:.1f} s ago")
+        await self.fleet.control_store("/knobs", refuse=503)
+        await trio.sleep(self._rng.uniform(0.1, 1.0))
+        await self.fleet.control_store("/restore", seconds_back=seconds_back)
+        await self.fleet.control_store("/knobs", **STORE_HEALTHY)
+        await trio.sleep(self._rng.uniform(0.1, 1.0))
+        value = configuration(self._version)
+        await self.fleet.control_store("/put", table="op", key="config", value=value)
+        for name in self.fleet.runner_services:
+            await self.fleet.list_runner(name)
+
     async def _reconfigure(self) -> None:
         self._version += self._rng.randint(1, 5)
         self._record_fault(f"configuration {self._version}")
--- a/standins/front_process.py
+++ b/standins/front_process.py
@@ -13,7 +13,10 @@
 
 
 class ControllableStore:
-    """The store; ``PUT`` ``/put``, ``/drop``, ``/knobs`` or ``/forget`` changes it."""
+    """The store.
+
+    ``PUT`` ``/put``, ``/drop``, ``/knobs``, ``/forget`` or ``/restore`` changes it.
+    """
 
     def __init__(self) -> None:
         self.rows = RowStore()
@@ -31,6 +34,8 @@
             self.rows.knobs = dataclasses.replace(self.rows.knobs, **fields)
         elif request.path == "/forget":
             self.rows.forget_history()
+        elif request.path == "/restore":
+            self.rows.restore(fields["seconds_back"])
         return await connection.answer(200, b"{}")
 
 
