--- a/src/foxtailsaddle/app/_application.py
+++ b/src/foxtailsaddle/app/_application.py
@@ -69,6 +69,7 @@
             self.rate_limiter,
             self.crash_quarantine,
         )
+        self.restore_monitor.on_restore.append(self.peering.request_registration)
         self.order_sender = OrderSender(env, self.restore_monitor)
         self.model_placement = ModelPlacement(
             env, self.settings_manager, self.members, self.liveness, self.order_sender
--- a/src/foxtailsaddle/app/_peering.py
+++ b/src/foxtailsaddle/app/_peering.py
@@ -130,6 +130,10 @@
         except PlatformUnavailableError:
             logger.info("peers: departure not registered")
 
+    def request_registration(self) -> None:
+        """Register again soon; a restored platform may have lost the entry."""
+        self._last_registration = None
+
     async def _register_if_due(self) -> None:
         """Register this instance if its state changed or the interval has passed."""
         now = self._env.clock.now()
--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -168,6 +168,10 @@
         else:
             knobs.late_writes = 1
 
+    async def do_restore(self, nursery: trio.Nursery, pick: int) -> None:
+        """Let the platform come back from a backup that is some seconds old."""
+        self._world.platform.restore(_fault_duration_s(pick))
+
     async def _complete(self, instance: str, prompt: str) -> None:
         at = trio.current_time()
         url = self._world.url(instance)
@@ -225,10 +229,22 @@
 ACTIONS = tuple(
     name.removeprefix("do_") for name in vars(FaultInjection) if name.startswith("do_")
 )
-FAULTS = tuple(name for name in ACTIONS if name not in ("complete", "sign_off"))
+FAULTS = tuple(
+    name for name in ACTIONS if name not in ("complete", "sign_off", "restore")
+)
+# The ledger row of a call is lost for good if its instance dies and the platform is
+# restored.
+FAULTS_BESIDE_RESTORES = tuple(
+    "restore" if name == "kill_instance" else name for name in FAULTS
+)
 
 
-def random_plan(seed: int, steps: int = 40, fault_share: float = 0.25) -> list[Step]:
+def random_plan(
+    seed: int,
+    steps: int = 40,
+    fault_share: float = 0.25,
+    faults: t.Sequence[str] = FAULTS,
+) -> list[Step]:
     """Return the plan of a seed.
 
     :param fault_share: probability that a step is a fault.
@@ -236,7 +252,7 @@
     rng = random.Random(seed)
     return [
         Step(
-            rng.choice(FAULTS)
+            rng.choice(faults)
             if rng.random() < fault_share
             else rng.choice(("complete", "sign_off")),
             rng.choice((0.0, 0.05, 0.3, 1.0)),
--- a/tests/test_restored_platform.py
+++ b/tests/test_restored_platform.py
@@ -109,6 +109,19 @@
         run_world(scenario)
 
 
+class TestInstanceList:
+    def test_a_lost_entry_of_an_instance_is_written_again(self):
+        async def scenario(world: World) -> None:
+            await lose_last_seconds(world)
+            world.platform.knobs.list_lag_s = 0.0
+            assert not world.platform.instances()
+            await trio.sleep(NOTICE_S)
+            ids = {entry["id"] for entry in world.platform.instances()}
+            assert ids == set(world.instances)
+
+        run_world(scenario)
+
+
 class TestLedger:
     """A call whose ledger row is lost is not run again."""
 
