A platform that begins to name its era was not restored

Cause, found by reading: a claim whose write brought the first answer with an era was taken for one that crossed a restore. It was released in the background, while the call went on: the same key could then run a second time. Change: only the time since a restore decides. Test failed first: test_a_platform_that_begins_to_name_its_era_was_not_restored.

--- a/src/foxtailsaddle/app/_idempotency_ledger.py
+++ b/src/foxtailsaddle/app/_idempotency_ledger.py
@@ -85,20 +85,26 @@
         :raises PlatformUnavailableError: the key could not be claimed.
         """
         self._check_not_restoring()
-        era = self._restore_monitor.era
         try:
             claim = await self._claim(entry)
         except trio.Cancelled:
             # The insert may still reach the platform, but the claim will not be used.
             self._release_in_background(entry, expected_version=0)
             raise
-        if self._restore_monitor.era != era and not claim.is_repeat:
+        try:
+            self._check_not_restoring()
+        except PlatformUnavailableError:
             # The entry of an earlier call may not be written again yet.
-            self._release_in_background(entry, claim.version)
-        self._check_not_restoring()
+            if not claim.is_repeat:
+                self._release_in_background(entry, claim.version)
+            raise
         return claim
 
     def _check_not_restoring(self) -> None:
+        """Check that no recent entry can be missing because of a restore.
+
+        :raises PlatformUnavailableError: the platform was restored just now.
+        """
         remaining_s = REWRITE_WINDOW_S - self._restore_monitor.elapsed_s()
         if remaining_s > 0:
             raise PlatformUnavailableError(
--- a/tests/test_restored_platform.py
+++ b/tests/test_restored_platform.py
@@ -150,6 +150,17 @@
 
         run_world(scenario)
 
+    def test_a_platform_that_begins_to_name_its_era_was_not_restored(self):
+        async def scenario(world: World) -> None:
+            world.app("i1").env.platform.era = 0
+            first = await world.caller().call(world.url("i1"), "sign", b"{}", "k", 3.0)
+            await trio.sleep(1)
+            again = await world.caller().call(world.url("i2"), "sign", b"{}", "k", 3.0)
+            assert (first.code, again.code) == ("ok", "ok")
+            assert len(world.plain_by_name["p1"].ran) == 1
+
+        run_world(scenario)
+
     def test_a_call_that_runs_meanwhile_keeps_its_answer(self):
         async def scenario(world: World) -> None:
             await trio.sleep(BACKUP_AGE_S + 1)
