A restarted instance gets a list also while no instance reaches the store

Cause: an instance that starts while the store is away copied the list of endpoints only from a reader of the store. During a whole outage there is none, so a process that was killed and restarted meanwhile answered 503 until the store was back, although the others knew all endpoints. Change: while no instance reaches the store, one that has no list copies that of any other.

--- a/src/foxtailsaddle/forward/_store_sync.py
+++ b/src/foxtailsaddle/forward/_store_sync.py
@@ -362,16 +362,20 @@
                 self.list_follower.request_read()
 
     async def _copy_list_while_disconnected(self) -> None:
-        """Copy the list from a reader while this instance can't reach the store."""
+        """Copy the list from a reader while this instance can't reach the store.
+
+        While no instance reaches it, one that has no list copies that of any other.
+        """
         while True:
             await trio.sleep(SNAPSHOT_INTERVAL_S)
-            readers = [
-                peer for peer in self._peers.store_readers() if peer.control_address
-            ]
-            if self.list_follower.is_disconnected and readers:
-                await self._fetch(
-                    random.choice(readers).control_address, with_list=True
-                )
+            if not self.list_follower.is_disconnected:
+                continue
+            peers = self._peers.store_readers()
+            if not peers and not self._fleet.endpoint_rows:
+                peers = self._peers.live()
+            addresses = [peer.control_address for peer in peers if peer.control_address]
+            if addresses:
+                await self._fetch(random.choice(addresses), with_list=True)
 
     async def _fetch(self, control_address: str, with_list: bool) -> None:
         client = KeepAliveHttpClient(control_address)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -189,6 +189,25 @@
         assert "px" not in ahead.fleet.endpoint_rows
 
 
+class TestStartDuringARestore:
+    """An instance starts from a peer's snapshot while the store is away."""
+
+    @in_world(plain=2, engines=0, instances=1)
+    async def test_the_list_of_an_earlier_era_is_replaced(self, world):
+        old = world.apps[0]
+        await write_lost_changes(world)
+        world.rows.knobs.refuse = 503
+        await eventually(lambda: old.store_sync.list_follower.is_disconnected, 5.0)
+        seeds = (old.env.settings.control,)
+        new = await world.add_instance(seeds=seeds)
+        await eventually(lambda: new.peers.live() and usable_ids(new), 5.0)
+        assert new.peers.list_version.era == 1
+        world.rows.restore(BACKUP_AGE_S)
+        world.rows.knobs.refuse = 0
+        await eventually(lambda: new.peers.list_version.era == 2, 5.0)
+        await drained_everywhere(world, world.apps)
+
+
 class TestConfigurationAfterARestore:
     """The restored configuration is older than the one in force."""
 
