Reloaded seeds are contacted; a clearer name

Cause, found by reading the change as a whole: SIGHUP noted new seeds, but seeds were greeted only once, at the start. No other change of the sources.

--- a/src/foxtailsaddle/cli/_serve_platform.py
+++ b/src/foxtailsaddle/cli/_serve_platform.py
@@ -76,6 +76,6 @@
         retry_window_s=bounds.retry_budget_window_s,
         retry_slack=bounds.retry_budget_slack,
         drain_timeout_s=bounds.drain_timeout_s,
-        catch_up_s=bounds.catch_up_s,
+        recovery_timeout_s=bounds.recovery_timeout_s,
         longest_reservation_s=bounds.longest_reservation_s,
     )
--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -60,8 +60,8 @@
     :param retry_slack: retries in a window beyond those earned, for all instances.
     :param drain_timeout_s: seconds within which an endpoint that drains stops getting
         new requests.
-    :param catch_up_s: seconds after a disruption within which the instance must know
-        again what has changed.
+    :param recovery_timeout_s: seconds after a disruption within which the instance
+        must know again what has changed.
     :param longest_reservation_s: engines refuse to reserve memory for longer.
     """
 
@@ -79,7 +79,7 @@
     retry_window_s: float
     retry_slack: float
     drain_timeout_s: float
-    catch_up_s: float
+    recovery_timeout_s: float
     longest_reservation_s: float
 
 
@@ -151,7 +151,7 @@
             env.new_store,
             settings.host,
             settings.drain_timeout_s,
-            settings.catch_up_s,
+            settings.recovery_timeout_s,
         )
         self.report_poller = ReportPoller(self.fleet, self.peers, env.engine_control)
         self.metrics = ForwardMetrics()
--- a/src/foxtailsaddle/forward/_peers.py
+++ b/src/foxtailsaddle/forward/_peers.py
@@ -165,9 +165,12 @@
             self._send(address, [], wants_reply=True)
 
     def add_seed(self, host: str) -> None:
-        """Add the address of an instance whose id is not known yet."""
-        if host != self._address[0]:
-            self._seed_addresses.add((host, self.port))
+        """Add the address of an instance whose id is not known yet, and greet it."""
+        address = (host, self.port)
+        if host == self._address[0] or address in self._seed_addresses:
+            return
+        self._seed_addresses.add(address)
+        self._send(address, [], wants_reply=True)
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
--- a/src/foxtailsaddle/forward/_store_sync.py
+++ b/src/foxtailsaddle/forward/_store_sync.py
@@ -50,8 +50,8 @@
 
     :param new_store: opens a new connection to the store.
     :param host: address of this instance, for its row in the store.
-    :param catch_up_s: seconds after a disruption within which this instance must know
-        again what has changed.
+    :param recovery_timeout_s: seconds after a disruption within which this instance
+        must know again what has changed.
     :param drain_timeout_s: seconds within which all instances must know of an endpoint
         that drains.
     """
@@ -64,9 +64,9 @@
         new_store: t.Callable[[], Store],
         host: str,
         drain_timeout_s: float,
-        catch_up_s: float,
+        recovery_timeout_s: float,
     ) -> None:
-        self._feed_wait_s = max(MIN_FEED_WAIT_S, catch_up_s - FEED_DETECTION_S)
+        self._feed_wait_s = max(MIN_FEED_WAIT_S, recovery_timeout_s - FEED_DETECTION_S)
         self._list_lag_s = min(LIST_LAG_S, MAX_LIST_LAG * drain_timeout_s)
         self._fleet = fleet
         self._peers = peers
--- a/src/foxtailsaddle/platform/_settings.py
+++ b/src/foxtailsaddle/platform/_settings.py
@@ -15,8 +15,8 @@
 
     :param drain_timeout_s: time within which a leaving endpoint stops getting
         new requests, in seconds.
-    :param catch_up_s: time after a disruption within which a process must know again
-        what has changed, in seconds.
+    :param recovery_timeout_s: time after a disruption within which a process must know
+        again what has changed, in seconds.
     :param grace_period_s: time from SIGTERM to SIGKILL, in seconds.
     :param retry_budget_ratio: retries allowed per request.
     :param retry_budget_window_s: length of the sliding window in which requests
@@ -28,7 +28,7 @@
     """
 
     drain_timeout_s: float
-    catch_up_s: float
+    recovery_timeout_s: float
     grace_period_s: float
     retry_budget_ratio: float
     retry_budget_window_s: float
@@ -92,7 +92,7 @@
 def _bounds(reader: "_FieldReader") -> DeploymentBounds:
     return DeploymentBounds(
         drain_timeout_s=reader.number("bounds.drain_timeout_ms", default=2000) / 1000,
-        catch_up_s=reader.number("bounds.touch_ms", default=3000) / 1000,
+        recovery_timeout_s=reader.number("bounds.touch_ms", default=3000) / 1000,
         grace_period_s=reader.number("bounds.grace_period_s", default=8),
         retry_budget_ratio=reader.number("bounds.retry_budget_ratio", default=0.2),
         retry_budget_window_s=reader.number("bounds.budget_window_s", default=10),
--- a/standins/front_world.py
+++ b/standins/front_world.py
@@ -151,7 +151,7 @@
                 "retry_window_s": 10.0,
                 "retry_slack": 100.0,
                 "drain_timeout_s": 2.0,
-                "catch_up_s": 3.0,
+                "recovery_timeout_s": 3.0,
                 "longest_reservation_s": 20.0,
             }
             | options
--- a/tests/test_forward_requests.py
+++ b/tests/test_forward_requests.py
@@ -375,6 +375,18 @@
         app.reload()
         assert not app.fleet.may_retry("plain", trio.current_time())
 
+    @in_world(plain=1, engines=0)
+    async def test_new_seeds_are_contacted(self, world):
+        app = world.apps[0]
+        host = app.env.settings.host.rpartition(".")[0] + ".9"
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as seed:
+            seed.bind((host, app.peers.port))
+            seed.settimeout(3)
+            changed = dataclasses.replace(app.env.settings, seeds=(f"{host}:1",))
+            app.env = dataclasses.replace(app.env, reload=lambda: changed)
+            app.reload()
+            assert await trio.to_thread.run_sync(seed.recv, 1000)
+
     @in_world(plain=1, engines=0)
     async def test_invalid_settings_change_nothing(self, world):
         app = world.apps[0]
