A check as strict as before, and a comment without a figure

Cause, found by reading the change once more: test_every_action_occurs had come to accept an action that occurs only in the plans with restores. Change: the plain plans must hold every action but restores, by themselves; a test of its own asks the same of the plans with restores. The comment on a start without fire gives the reason and no measured share.

--- a/src/foxtailsaddle/cli/_main.py
+++ b/src/foxtailsaddle/cli/_main.py
@@ -137,7 +137,7 @@
     """
     try:
         if sys.argv[1:] == ["serve-platform"]:
-            # Hundreds of instances may start at once, and fire takes a fifth of that.
+            # Hundreds of instances may start at once, and fire loads asyncio.
             Commands().serve_platform()
             return
         import fire
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -82,6 +82,13 @@
             run_plan(random_plan(seed, faults=FAULTS_BESIDE_RESTORES), seed)
 
     def test_every_action_occurs(self):
-        plans = [random_plan(seed) for seed in range(20)]
-        plans += [random_plan(s, faults=FAULTS_BESIDE_RESTORES) for s in range(20)]
-        assert {step.action for plan in plans for step in plan} == set(ACTIONS)
+        actions = {s.action for seed in range(20) for s in random_plan(seed)}
+        assert actions == set(ACTIONS) - {"restore"}
+
+    def test_every_action_beside_restores_occurs(self):
+        actions = {
+            step.action
+            for seed in range(20)
+            for step in random_plan(seed, faults=FAULTS_BESIDE_RESTORES)
+        }
+        assert actions == set(ACTIONS) - {"kill_instance"}
