Limits that endpoints name are read and logged

The logs couldn't tell which endpoint names a limit, which one and since when. Server-Limit is decoded beside the other notices, kept for each start of an endpoint, and two log lines tell when it begins, changes and ends. A limit ends by a successful response without it, to a request sent after the limit was last heard; refusals, reports and orders end none. Placement doesn't use it yet. The stand-in names limits and notes when requests of any kind arrive.

--- a/src/foxtailsaddle/core/_endpoint_holds.py
+++ b/src/foxtailsaddle/core/_endpoint_holds.py
@@ -24,10 +24,15 @@
 
     :param is_leaving: it shuts down and wants nothing new.
     :param pause_s: time for which it wants no requests from this instance, in seconds.
+    :param limit_per_s: requests a second that it takes from all instances together;
+        ``None`` if it names no limit.
+    :param has_unreadable_limit: it names a limit that can't be read.
     """
 
     is_leaving: bool = False
     pause_s: float = 0.0
+    limit_per_s: float | None = None
+    has_unreadable_limit: bool = False
 
 
 NO_NOTICE = EndpointNotice()
--- a/src/foxtailsaddle/forward/_attempt.py
+++ b/src/foxtailsaddle/forward/_attempt.py
@@ -6,14 +6,21 @@
 import h11
 import trio
 
-from ..core import AttemptOutcome, EndpointId, Job, JobId, ListedEndpoint
+from ..core import (
+    NO_LIMIT,
+    AttemptOutcome,
+    EndpointId,
+    Job,
+    JobId,
+    ListedEndpoint,
+)
 from ..errors import (
     ExchangeBrokenError,
     FoxtailsaddleError,
     NothingSentError,
 )
 from ..ports import Dispatch, HeaderCodec, Headers, ResponseHead
-from ._endpoint_notices import record_notice
+from ._endpoint_notices import record_limit, record_notice
 from ._error_groups import unwrap_error_group
 from ._exchange import Exchange
 from ._fleet import FleetState
@@ -21,6 +28,7 @@
 
 CONNECT_TIMEOUT_S = 0.4
 MIN_CONNECT_TIMEOUT_S = 0.05
+SERVER_ERROR = 500
 
 
 class RefusedError(FoxtailsaddleError):
@@ -70,7 +78,7 @@
         self._decode_ms = decode_ms
         self._exchange: Exchange | None = None
         self._entry: ListedEndpoint | None = None
-        self._sent = trio.Event()
+        self._sent_at = 0.0
         self.job = job
         self.outcome = AttemptOutcome.NEUTRAL
         self.outcome_endpoint: EndpointId = job.endpoint
@@ -114,6 +122,7 @@
         self._check_holds()
         headers = self._header_codec.endpoint_headers(context.headers, dispatch)
         context.possible_runs += 1
+        self._sent_at = trio.current_time()
         with unwrap_error_group():
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send, headers)
@@ -160,6 +169,7 @@
             raise ExchangeBrokenError(
                 f'"{self.job.endpoint}" sent the response to another request'
             )
+        self._record_limit(response_head)
         if response_head.refused:
             self._context.possible_runs -= 1
             raise RefusedError(
@@ -175,6 +185,22 @@
             )
         return response, response_head
 
+    def _record_limit(self, response_head: ResponseHead) -> None:
+        """Record the endpoint's limit.
+
+        It has ended if a successful response doesn't name it, to a request that was
+        sent after the limit was last heard.
+        """
+        notice = response_head.notice
+        if notice.limit_per_s is not None:
+            record_limit(self._fleet, self._entry, notice.limit_per_s)
+            return
+        heard_at = self._fleet.endpoint_limits.heard_at(self._entry)
+        is_success = response_head.status < SERVER_ERROR and not response_head.refused
+        is_later = self._sent_at >= heard_at
+        if is_success and is_later and not notice.has_unreadable_limit:
+            record_limit(self._fleet, self._entry, NO_LIMIT)
+
     @property
     def has_framing(self) -> bool:
         """Whether the response has a content length or is chunked."""
--- a/src/foxtailsaddle/forward/_endpoint_notices.py
+++ b/src/foxtailsaddle/forward/_endpoint_notices.py
@@ -4,10 +4,11 @@
 
 import trio
 
-from ..core import MAX_PAUSE_S, EndpointNotice, ListedEndpoint
+from ..core import MAX_PAUSE_S, NO_LIMIT, EndpointNotice, ListedEndpoint, NamedLimit
 from ._fleet import FleetState
 
 logger = logging.getLogger("foxtailsaddle.holds")
+limits_logger = logging.getLogger("foxtailsaddle.limits")
 
 
 def record_notice(
@@ -39,8 +40,31 @@
         )
 
 
+def record_limit(fleet: FleetState, entry: ListedEndpoint, per_s: float) -> None:
+    """Record the limit that an endpoint names, or that it names none any more.
+
+    :param per_s: requests per second, infinite for no limit.
+    """
+    limit = NamedLimit(entry.id, entry.born_ms, per_s, trio.current_time())
+    if not fleet.endpoint_limits.record(limit):
+        return
+    if per_s == NO_LIMIT:
+        limits_logger.info("limits: limit ended", extra={"endpoint": entry.id})
+        return
+    limits_logger.info(
+        "limits: endpoint names a limit",
+        extra={"endpoint": entry.id, "born_ms": entry.born_ms, "per_s": per_s},
+    )
+
+
 def record_notice_at(fleet: FleetState, address: str, notice: EndpointNotice) -> None:
-    """Record what the endpoint at an address says of itself."""
+    """Record what the endpoint at an address says of itself beside an order or report.
+
+    Only a response to a request of a client shows that a limit has ended.
+    """
     entry = fleet.endpoints.newest_at_address(address)
-    if entry is not None:
-        record_notice(fleet, entry, notice)
+    if entry is None:
+        return
+    record_notice(fleet, entry, notice)
+    if notice.limit_per_s is not None:
+        record_limit(fleet, entry, notice.limit_per_s)
--- a/src/foxtailsaddle/forward/_fleet.py
+++ b/src/foxtailsaddle/forward/_fleet.py
@@ -12,6 +12,7 @@
     EndpointHealth,
     EndpointHolds,
     EndpointId,
+    EndpointLimits,
     EndpointList,
     EngineLoadTracker,
     InstanceId,
@@ -106,6 +107,7 @@
         self.engine_loads = EngineLoadTracker()
         self.health = EndpointHealth()
         self.holds = EndpointHolds()
+        self.endpoint_limits = EndpointLimits()
         self.crash_guard = CrashGuard(DEATH_MEMORY_S, MAX_DEATHS)
         self.part_guard = PromptPartGuard()
         self.retries = retries
--- a/src/foxtailsaddle/forward/_store_sync.py
+++ b/src/foxtailsaddle/forward/_store_sync.py
@@ -340,6 +340,7 @@
             self._fleet.engine_loads.forget(endpoint, now)
             self._fleet.health.forget(endpoint)
             self._fleet.holds.forget_unknown_start(endpoint)
+            self._fleet.endpoint_limits.forget(endpoint)
             logger.info("list: gone", extra={"endpoint": endpoint})
 
     # Cleanup and snapshots.
--- a/src/foxtailsaddle/platform/_headers.py
+++ b/src/foxtailsaddle/platform/_headers.py
@@ -124,8 +124,14 @@
     by_name = dict(headers)
     pause_s = 0.0
     if status == names.STATUS_SERVICE_UNAVAILABLE:
-        pause_s = _non_negative_seconds(by_name.get(names.RETRY_AFTER, b""))
-    return EndpointNotice(names.SERVER_LEAVING in by_name, pause_s)
+        pause_s = _decimal(by_name.get(names.RETRY_AFTER, b"")) or 0.0
+    limit_per_s = _decimal(by_name.get(names.SERVER_LIMIT, b""))
+    return EndpointNotice(
+        is_leaving=names.SERVER_LEAVING in by_name,
+        pause_s=pause_s,
+        limit_per_s=limit_per_s,
+        has_unreadable_limit=names.SERVER_LIMIT in by_name and limit_per_s is None,
+    )
 
 
 def _headers_named_by_connection(headers: Headers) -> frozenset[bytes]:
@@ -148,9 +154,9 @@
         return None
 
 
-def _non_negative_seconds(value: bytes) -> float:
-    """Decode a decimal number of seconds; 0 if it is malformed."""
-    return float(value) if DECIMAL_NUMBER.fullmatch(value) else 0.0
+def _decimal(value: bytes) -> float | None:
+    """Decode a decimal number that isn't negative; ``None`` if it is malformed."""
+    return float(value) if DECIMAL_NUMBER.fullmatch(value) else None
 
 
 def _api_key(value: bytes | None) -> str | None:
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -130,6 +130,9 @@
     :ivar report_count: number of load reports that were sent.
     :ivar is_leaving: all answers say that the runner is about to leave.
     :ivar retry_after: value of that header in answers with 503; empty for none.
+    :ivar limit_per_s: value of the header that names a limit in requests per second
+        from all instances; empty for none.
+    :ivar requests_at: when requests of any kind arrived, orders and reports included.
     :ivar endless_bytes: bytes sent so far by faults without end.
     """
 
@@ -173,6 +176,8 @@
         self.report_count = 0
         self.is_leaving = False
         self.retry_after = ""
+        self.limit_per_s = ""
+        self.requests_at: list[float] = []
         self.is_dead = False
         self.crashing_parts: set[str] = set()
         self.crashes = 0
@@ -243,6 +248,7 @@
 
     async def handle(self, connection: WireConnection, request: WireRequest) -> bool:
         """Answer one request."""
+        self.requests_at.append(trio.current_time())
         if request.path == "/order":
             return await self._receive_order(connection, request)
         if request.path == "/report":
@@ -285,6 +291,8 @@
         headers = {"server-leaving": "1"} if self.is_leaving else {}
         if self.retry_after and status == 503:
             headers["retry-after"] = self.retry_after
+        if self.limit_per_s:
+            headers["server-limit"] = self.limit_per_s
         return headers
 
     async def _answer_run(
