Calls to idle plain endpoints are spread, whatever their ids

Two causes: ties went by the id, and an endpoint that had served calls had a lower failure share than one without history, so the first to be used stayed the best.

--- a/src/foxtailsaddle/core/_plain_placement.py
+++ b/src/foxtailsaddle/core/_plain_placement.py
@@ -8,6 +8,7 @@
 import dataclasses
 import typing as t
 
+from ._engine_estimates import NORMAL_FAILURE_SHARE
 from ._ids import DataCentre, EndpointId
 
 FAILURE_CALLS = 8.0  # calls in flight that a certain failure counts as
@@ -24,6 +25,7 @@
     :param slowdown: how many times slower than usual it is.
     :param preference: of the instance that decides, from 0 to 1. A random one spreads
         the calls of many instances that don't know each other's calls.
+    :param tie_break: decides between equally good endpoints, the lowest first.
     """
 
     id: EndpointId
@@ -32,6 +34,7 @@
     failure_share: float
     slowdown: float = 1.0
     preference: float = 0.0
+    tie_break: float = 0.0
 
 
 def place_plain(
@@ -42,11 +45,14 @@
     :param data_centre: data centre of the instance that decides.
     """
 
-    def cost(candidate: PlainCandidate) -> tuple[float, EndpointId]:
+    def cost(candidate: PlainCandidate) -> tuple[float, float, EndpointId]:
         remote = REMOTE_CALLS * (candidate.data_centre != data_centre)
         calls = candidate.slowdown * candidate.in_flight + remote
         calls -= PREFERENCE_CALLS * candidate.preference
-        return calls + FAILURE_CALLS * candidate.failure_share, candidate.id
+        # Otherwise an endpoint that has served calls would be better than an idle one.
+        excess = max(0.0, candidate.failure_share - NORMAL_FAILURE_SHARE)
+        calls += FAILURE_CALLS * excess
+        return calls, candidate.tie_break, candidate.id
 
     best = min(candidates, key=cost, default=None)
     return best.id if best else None
--- /dev/null
+++ b/src/foxtailsaddle/forward/_limit_gate.py
@@ -0,0 +1,160 @@
+"""Keeps requests to the limits that endpoints name for all instances together.
+
+Each request to such an endpoint needs a grant of the one instance that grants them,
+chosen by the hash of the endpoint. A grant that gets lost is not used, so what isn't
+known only leaves a part of the limit unused.
+"""
+
+import collections
+import dataclasses
+import logging
+import math
+import secrets
+
+import trio
+
+from ..core import (
+    NO_LIMIT,
+    GrantReply,
+    GrantSchedules,
+    InstanceId,
+    ListedEndpoint,
+    NamedLimit,
+    grant_interval_s,
+)
+from ._datagrams import GrantReplied, GrantRequested
+from ._fleet import FleetState
+from ._peers import NO_INSTANCE, Peers, limit_update
+
+logger = logging.getLogger("foxtailsaddle.limits")
+
+REPLY_TIMEOUT_S = 0.1
+TRIES = 2
+# Until a request for a grant may be repeated at an instance that didn't grant it for
+# another reason than the limit.
+RETRY_S = 0.3
+PASSED_OVER_S = 2.0  # for which an instance that did not answer isn't asked
+MAX_REMEMBERED_REPLIES = 4000
+# Random, so that replies to an earlier process are told from those to this one.
+FIRST_NUMBER_BITS = 62
+NOT_THIS_INSTANCE = GrantReply(False, RETRY_S)
+
+
+@dataclasses.dataclass(slots=True)
+class _PendingGrant:
+    """A request for a grant that waits for its reply."""
+
+    reply: GrantReply | None = None
+    replied: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
+class LimitGate:
+    """Asks for the grants of this instance's requests, and grants those of others."""
+
+    def __init__(self, fleet: FleetState, peers: Peers) -> None:
+        self._fleet = fleet
+        self._peers = peers
+        self._schedules = GrantSchedules()
+        self._last_number = secrets.randbits(FIRST_NUMBER_BITS)
+        self._pending_by_number: dict[int, _PendingGrant] = {}
+        self._reply_by_request: collections.OrderedDict[
+            tuple[InstanceId, int], GrantReply
+        ] = collections.OrderedDict()
+        self._silent_instance = NO_INSTANCE
+        self._silent_until = 0.0
+        peers.updates.on_grant_requested = self._answer
+        peers.updates.on_grant_replied = self._take_reply
+
+    async def admit(self, entry: ListedEndpoint, max_wait_s: float) -> bool:
+        """Wait until a request may be sent to an endpoint.
+
+        :param max_wait_s: longest time to wait.
+        :returns: false if the endpoint's limit doesn't allow it in that time; the time
+            until it might is recorded.
+        """
+        limit = self._fleet.endpoint_limits.limit_of(entry)
+        if limit is None:
+            return True
+        reply = await self._request(limit, max_wait_s)
+        self._record_next_grant(limit, reply)
+        if reply.is_granted:
+            await trio.sleep(reply.wait_s)
+        return reply.is_granted
+
+    def charge(self, entry: ListedEndpoint) -> None:
+        """Count a request that has to be sent whatever the limit allows."""
+        limit = self._fleet.endpoint_limits.limit_of(entry)
+        if limit is None:
+            return
+        granting = self._granting_instance(limit)
+        if granting == self._fleet.instance:
+            self._schedules.request(limit, math.inf, trio.current_time())
+        else:
+            self._peers.send_to(granting, self._new_request(limit, math.inf))
+
+    def _granting_instance(self, limit: NamedLimit) -> InstanceId:
+        return self._peers.granting_instance(limit.endpoint, self._passed_over())
+
+    def _passed_over(self) -> InstanceId:
+        is_silent = trio.current_time() < self._silent_until
+        return self._silent_instance if is_silent else NO_INSTANCE
+
+    async def _request(self, limit: NamedLimit, max_wait_s: float) -> GrantReply:
+        granting = self._granting_instance(limit)
+        if granting == self._fleet.instance:
+            return self._schedules.request(limit, max_wait_s, trio.current_time())
+        request = self._new_request(limit, max_wait_s)
+        pending = self._pending_by_number[request.number] = _PendingGrant()
+        try:
+            for _ in range(TRIES):
+                self._peers.send_to(granting, request)
+                with trio.move_on_after(REPLY_TIMEOUT_S):
+                    await pending.replied.wait()
+                    return pending.reply
+        finally:
+            del self._pending_by_number[request.number]
+        self._silent_instance = granting
+        self._silent_until = trio.current_time() + PASSED_OVER_S
+        logger.warning(
+            "limits: no reply to a request for a grant",
+            extra={"endpoint": limit.endpoint, "peer": granting},
+        )
+        return NOT_THIS_INSTANCE
+
+    def _new_request(self, limit: NamedLimit, max_wait_s: float) -> GrantRequested:
+        self._last_number += 1
+        named = limit_update(limit, trio.current_time())
+        return GrantRequested(self._last_number, named, max_wait_s, self._passed_over())
+
+    def _record_next_grant(self, limit: NamedLimit, reply: GrantReply) -> None:
+        interval_s = grant_interval_s(limit.per_s) if reply.is_granted else 0.0
+        next_at = trio.current_time() + reply.wait_s + interval_s
+        self._fleet.endpoint_limits.record_next_grant(limit, next_at)
+
+    def _answer(self, sender: InstanceId, request: GrantRequested) -> None:
+        """Reply to another instance; a repeated request gets the same reply."""
+        key = (sender, request.number)
+        reply = self._reply_by_request.get(key)
+        if reply is None:
+            reply = self._decide(request)
+            self._reply_by_request[key] = reply
+            if len(self._reply_by_request) > MAX_REMEMBERED_REPLIES:
+                self._reply_by_request.popitem(last=False)
+        self._peers.send_to(sender, GrantReplied(request.number, reply))
+
+    def _decide(self, request: GrantRequested) -> GrantReply:
+        endpoint = request.limit.endpoint
+        granting = self._peers.granting_instance(endpoint, request.passed_over)
+        if granting != self._fleet.instance:
+            # The sender will soon know the same instances.
+            return NOT_THIS_INSTANCE
+        limit = self._fleet.endpoint_limits.latest(endpoint)
+        if limit is None or limit.per_s == NO_LIMIT:
+            return GrantReply(True, 0.0)
+        return self._schedules.request(limit, request.max_wait_s, trio.current_time())
+
+    def _take_reply(self, update: GrantReplied) -> None:
+        pending = self._pending_by_number.get(update.number)
+        if pending is not None:
+            pending.reply = update.reply
+            pending.replied.set()
--- a/src/foxtailsaddle/forward/_plain.py
+++ b/src/foxtailsaddle/forward/_plain.py
@@ -162,6 +162,7 @@
             in_flight=self._fleet.engine_loads.load(entry.id, now).requests,
             failure_share=self._fleet.health.failure_share(entry.id, now),
             preference=self._preference(),
+            tie_break=random.random(),
         )
 
     def _preference(self) -> float:
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -25,6 +25,7 @@
 )
 from standins.passes import PassEngine, PassFleet, Prompt
 from tests.engines import TIME
+from tests.loopback_world import in_world
 
 ENGINES = 14
 HOME = DataCentre("a")
@@ -339,3 +340,16 @@
         PassFleet(engines, TIME, place).run([prompt])
         expected = TIME.prefill_ms(133_000, 4) + TIME.pass_ms(1, 133_000)
         assert prompt.first_ms == pytest.approx(expected, rel=0.15)
+
+
+class TestIdlePlainEndpoints:
+    """Load pattern: few short calls of many instances to endpoints that are idle."""
+
+    # Guards against the calls of all instances at the endpoint that is first by its id.
+    @in_world(engines=0, plain=3, instances=2)
+    async def test_calls_are_spread_over_idle_endpoints(self, world):
+        for number in range(60):
+            reply = await world.ask(world.apps[number % 2], "/safe/x")
+            assert reply.status == 200
+        counts = [len(runner.received) for runner in world.runners.values()]
+        assert min(counts) >= 8
