All instances together keep to the limit that an endpoint names

Cause: a bound that holds for the whole fleet was known to nobody; each instance placed by load alone, and an endpoint in need looks idle. Load reports, orders and parts of large prompts came on top.

Each request to an endpoint with a limit now needs a grant. Weighed against it: even shares (a small limit is exceeded by the first requests of many instances) and turns in time (need clocks that agree, and waste the limit when few have work).

Limits are told to the others when they change, repeated in heartbeats by the granting instance, and told to instances that appear. Placement counts the wait as a slower start; limited engines help with no prompt and are asked for no report; orders that can't be left out are counted. A request waits for a share of its time until late, less with a lower priority; what can't be granted goes elsewhere or gets 503 with the time until the next grant.

--- a/src/foxtailsaddle/core/_endpoint_limits.py
+++ b/src/foxtailsaddle/core/_endpoint_limits.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import math
+import typing as t
 
 from ._endpoint_list import ListedEndpoint
 from ._ids import EndpointId
@@ -38,6 +39,7 @@
 
     def __init__(self) -> None:
         self._limit_by_endpoint: dict[EndpointId, NamedLimit] = {}
+        self._next_grant_at_by_endpoint: dict[EndpointId, float] = {}
 
     def record(self, limit: NamedLimit) -> bool:
         """Record what an endpoint says; return whether its limit has changed.
@@ -58,16 +60,38 @@
         self._limit_by_endpoint.pop(limit.endpoint, None)
         self._limit_by_endpoint[limit.endpoint] = limit
         if len(self._limit_by_endpoint) > MAX_LIMITS:
-            del self._limit_by_endpoint[next(iter(self._limit_by_endpoint))]
+            self.forget(next(iter(self._limit_by_endpoint)))
         return known_per_s != limit.per_s
 
-    def limit(self, entry: ListedEndpoint) -> float:
-        """Return how many requests a second an endpoint takes from all instances."""
+    def limit_of(self, entry: ListedEndpoint) -> NamedLimit | None:
+        """Return the limit of an endpoint, ``None`` if it has none at present."""
         known = self._limit_by_endpoint.get(entry.id)
         # An entry of an earlier start is outdated.
-        if known is None or entry.born_ms > known.born_ms:
-            return NO_LIMIT
-        return known.per_s
+        if known is None or known.per_s == NO_LIMIT or entry.born_ms > known.born_ms:
+            return None
+        return known
+
+    def latest(self, endpoint: EndpointId) -> NamedLimit | None:
+        """Return what an endpoint said last, also if its limit has ended."""
+        return self._limit_by_endpoint.get(endpoint)
+
+    def record_next_grant(self, limit: NamedLimit, at: float) -> None:
+        """Record when the next request to an endpoint may be granted."""
+        self._next_grant_at_by_endpoint[limit.endpoint] = at
+
+    def wait_s(self, entry: ListedEndpoint, now: float) -> float:
+        """Return the time until a request to an endpoint may be granted, if known."""
+        if self.limit_of(entry) is None:
+            return 0.0
+        return max(0.0, self._next_grant_at_by_endpoint.get(entry.id, now) - now)
+
+    def within(
+        self, entries: t.Sequence[ListedEndpoint], max_wait_s: float, now: float
+    ) -> t.Sequence[ListedEndpoint]:
+        """Return the entries whose limit may allow a request within a time."""
+        if not self._limit_by_endpoint:
+            return entries
+        return [entry for entry in entries if self.wait_s(entry, now) <= max_wait_s]
 
     def heard_at(self, entry: ListedEndpoint) -> float:
         """Return when an endpoint last spoke of its limit; never is minus infinity."""
@@ -81,3 +105,4 @@
     def forget(self, endpoint: EndpointId) -> None:
         """Forget an endpoint that is no longer listed."""
         self._limit_by_endpoint.pop(endpoint, None)
+        self._next_grant_at_by_endpoint.pop(endpoint, None)
--- a/src/foxtailsaddle/core/_endpoint_list.py
+++ b/src/foxtailsaddle/core/_endpoint_list.py
@@ -58,6 +58,9 @@
         """Return the entry of an endpoint, or ``None``."""
         return self._entry_by_id.get(endpoint)
 
+    def __contains__(self, endpoint: EndpointId) -> bool:
+        return endpoint in self._entry_by_id
+
     def all(self) -> t.Iterable[ListedEndpoint]:
         """Return all entries, including endpoints that drain."""
         return self._entry_by_id.values()
--- a/src/foxtailsaddle/core/_engine_estimates.py
+++ b/src/foxtailsaddle/core/_engine_estimates.py
@@ -49,6 +49,8 @@
     :param failure_share: expected share of failing attempts.
     :param stall_suspicion: how likely it stalls shared prefills, from 0.
     :param can_reserve: false when it has just refused to reserve memory.
+    :param can_help: false if it takes only a limited number of requests.
+    :param limit_wait_ms: time until its limit allows a request.
     """
 
     id: EndpointId
@@ -58,6 +60,8 @@
     failure_share: float = NORMAL_FAILURE_SHARE
     stall_suspicion: float = 0.0
     can_reserve: bool = True
+    can_help: bool = True
+    limit_wait_ms: float = 0.0
 
 
 def lateness(taken_ms: float, bound_ms: float) -> float:
@@ -142,9 +146,10 @@
         idle_start_ms = NETWORK_MS + self.slowdown * (remaining_pass_ms + first_pass_ms)
         pending_ms = self.slowdown * load.prefill_ms
         pass_pending_ms = pending_ms if load.decoding_requests else 0.0
-        self.start_ms = idle_start_ms + pending_ms + self.slot_wait_ms
+        admission_ms = max(self.slot_wait_ms, engine.limit_wait_ms)
+        self.start_ms = idle_start_ms + pending_ms + admission_ms
         self.helper_start_ms = idle_start_ms + pass_pending_ms
-        self.shared_start_ms = self.helper_start_ms + self.slot_wait_ms
+        self.shared_start_ms = self.helper_start_ms + admission_ms
         self.main_gap_ms = self.slowdown * (decode_pass_ms + load.prefill_ms)
         self.helper_gap_ms = self.slowdown * (pass_ms + load.prefill_ms)
         weight_by_gap: dict[float, float] = {}
--- a/src/foxtailsaddle/core/_engine_placement.py
+++ b/src/foxtailsaddle/core/_engine_placement.py
@@ -239,6 +239,8 @@
 
         A part at a slow engine would delay the whole prompt.
         """
+        if not engine.can_help:
+            return False
         has_slot = engine.load.helper_prefills < self.time.spec.slots
         return has_slot and engine.slowdown < MAX_HELPER_SLOWDOWN
 
--- a/src/foxtailsaddle/core/_plain_placement.py
+++ b/src/foxtailsaddle/core/_plain_placement.py
@@ -23,6 +23,8 @@
     :param in_flight: estimated number of its running calls, of all instances.
     :param failure_share: expected share of failing calls.
     :param slowdown: how many times slower than usual it is.
+    :param limit_wait_calls: time until its limit allows a request, in durations of a
+        call.
     :param preference: of the instance that decides, from 0 to 1. A random one spreads
         the calls of many instances that don't know each other's calls.
     :param tie_break: decides between equally good endpoints, the lowest first.
@@ -33,6 +35,7 @@
     in_flight: int
     failure_share: float
     slowdown: float = 1.0
+    limit_wait_calls: float = 0.0
     preference: float = 0.0
     tie_break: float = 0.0
 
@@ -48,6 +51,7 @@
     def cost(candidate: PlainCandidate) -> tuple[float, float, EndpointId]:
         remote = REMOTE_CALLS * (candidate.data_centre != data_centre)
         calls = candidate.slowdown * candidate.in_flight + remote
+        calls += candidate.limit_wait_calls
         calls -= PREFERENCE_CALLS * candidate.preference
         # Otherwise an endpoint that has served calls would be better than an idle one.
         excess = max(0.0, candidate.failure_share - NORMAL_FAILURE_SHARE)
--- a/src/foxtailsaddle/forward/_admission.py
+++ b/src/foxtailsaddle/forward/_admission.py
@@ -3,7 +3,7 @@
 import trio
 import xxhash
 
-from ..core import AccountId, Route, RouteKind, RouteTable
+from ..core import ClientAccount, Route, RouteKind, RouteTable
 from ..errors import (
     NotReadyError,
     RequestInvalidError,
@@ -85,8 +85,9 @@
             body=body,
             route=route,
             service=service,
-            account=account,
-            fingerprint=fingerprint(account or "", target, body),
+            account=account.id if account else None,
+            priority=_priority(route, account),
+            fingerprint=fingerprint(account.id if account else "", target, body),
             arrived_at=arrived_at,
             expires_at=arrived_at + allowed_s,
             response_writer=response_writer,
@@ -131,14 +132,21 @@
 
 def _authenticate(
     table: RouteTable, route: Route, request: CallerRequest
-) -> AccountId | None:
+) -> ClientAccount | None:
     account = table.account_by_key.get(request.api_key) if request.api_key else None
     if account is not None:
-        return account.id
+        return account
     if route.public or not table.has_accounts:
         return None
     raise UnauthorizedError("the API key is missing or belongs to no client account")
 
 
+def _priority(route: Route, account: ClientAccount | None) -> int:
+    """Return the priority of a request; that of its account goes before its route's."""
+    if account is not None and account.priority is not None:
+        return account.priority
+    return route.priority
+
+
 def _hash_fraction(request_id: str) -> float:
     return xxhash.xxh32_intdigest(request_id.encode()) / HASH_RANGE
--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -22,6 +22,7 @@
 from ._endpoint_notices import record_notice_at
 from ._fleet import FleetState
 from ._internal_pages import Page, serve_pages
+from ._limit_gate import LimitGate
 from ._metrics import ForwardMetrics
 from ._part_checks import PartChecks
 from ._peers import Peers
@@ -232,9 +233,11 @@
         job_ids = JobIdGenerator(random.SystemRandom().getrandbits(32))
         header_codec = self.env.header_codec
         crash_detector = CrashDetector(self.fleet, background)
+        limit_gate = LimitGate(self.fleet, self.peers)
         reservations = Reservations(
             self.fleet,
             self.env.engine_control,
+            limit_gate,
             background,
             settings.longest_reservation_s,
         )
@@ -252,9 +255,15 @@
                 reservations,
                 crash_detector,
                 part_checks,
+                limit_gate,
             ),
             PlainForwarder(
-                self.fleet, header_codec, settings.data_centre, job_ids, crash_detector
+                self.fleet,
+                header_codec,
+                settings.data_centre,
+                job_ids,
+                crash_detector,
+                limit_gate,
             ),
             part_checks,
         )
--- a/src/foxtailsaddle/forward/_datagrams.py
+++ b/src/foxtailsaddle/forward/_datagrams.py
@@ -12,6 +12,7 @@
     CrashId,
     EndpointDeath,
     EndpointId,
+    GrantReply,
     InstanceId,
     Job,
     JobId,
@@ -108,6 +109,45 @@
     for_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitNamed:
+    """What an endpoint last said of the limit for all instances together.
+
+    :param start: its start, wall-clock time in milliseconds.
+    :param per_s: requests per second, infinite once the limit has ended.
+    :param age_s: time since an instance received the response that says so.
+    """
+
+    endpoint: EndpointId
+    start: int
+    per_s: float
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantRequested:
+    """The sender wants to send a request to an endpoint with a limit.
+
+    :param number: identifies the request for a grant, which may arrive twice.
+    :param max_wait_s: longest time that the request may wait.
+    :param passed_over: the instance that would grant it, but didn't answer the sender;
+        empty for none.
+    """
+
+    number: int
+    limit: LimitNamed
+    max_wait_s: float
+    passed_over: InstanceId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantReplied:
+    """The reply to a request for a grant."""
+
+    number: int
+    reply: GrantReply
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListChanged:
     """An entry of the list of endpoints has changed.
@@ -130,6 +170,9 @@
     | PartRefused
     | PartsCleared
     | PartTrialClaimed
+    | LimitNamed
+    | GrantRequested
+    | GrantReplied
 )
 
 
@@ -389,6 +432,53 @@
     return PartTrialClaimed(_read_parts(reader.parts), reader.forS)
 
 
+def _write_limit(builder: t.Any, limit: LimitNamed) -> None:
+    builder.endpoint = limit.endpoint
+    builder.start = limit.start
+    builder.perS = limit.per_s
+    builder.ageS = limit.age_s
+
+
+def _read_limit(reader: t.Any) -> LimitNamed:
+    endpoint = EndpointId(reader.endpoint)
+    return LimitNamed(endpoint, reader.start, reader.perS, reader.ageS)
+
+
+def _write_limit_named(item: t.Any, update: LimitNamed) -> None:
+    _write_limit(item.init("limit"), update)
+
+
+def _read_limit_named(_: InstanceId, item: t.Any) -> LimitNamed:
+    return _read_limit(item.limit)
+
+
+def _write_grant_requested(item: t.Any, update: GrantRequested) -> None:
+    builder = item.init("grantRequest")
+    builder.number = update.number
+    _write_limit(builder.init("limit"), update.limit)
+    builder.maxWaitS = update.max_wait_s
+    builder.passedOver = update.passed_over
+
+
+def _read_grant_requested(_: InstanceId, item: t.Any) -> GrantRequested:
+    reader = item.grantRequest
+    limit = _read_limit(reader.limit)
+    passed_over = InstanceId(reader.passedOver)
+    return GrantRequested(reader.number, limit, reader.maxWaitS, passed_over)
+
+
+def _write_grant_replied(item: t.Any, update: GrantReplied) -> None:
+    builder = item.init("grantReply")
+    builder.number = update.number
+    builder.granted = update.reply.is_granted
+    builder.waitS = update.reply.wait_s
+
+
+def _read_grant_replied(_: InstanceId, item: t.Any) -> GrantReplied:
+    reader = item.grantReply
+    return GrantReplied(reader.number, GrantReply(reader.granted, reader.waitS))
+
+
 def _read_parts(reader: t.Any) -> tuple[PromptPartId, ...]:
     return tuple(PromptPartId(part) for part in reader)
 
@@ -420,6 +510,9 @@
     PartRefused: _write_part_refused,
     PartsCleared: _write_parts_cleared,
     PartTrialClaimed: _write_part_trial,
+    LimitNamed: _write_limit_named,
+    GrantRequested: _write_grant_requested,
+    GrantReplied: _write_grant_replied,
 }
 _READER_BY_FIELD: dict[str, t.Callable[[InstanceId, t.Any], Update]] = {
     "placed": _read_placed,
@@ -431,4 +524,7 @@
     "refusedPart": _read_part_refused,
     "clearedParts": _read_parts_cleared,
     "partTrial": _read_part_trial,
+    "limit": _read_limit_named,
+    "grantRequest": _read_grant_requested,
+    "grantReply": _read_grant_replied,
 }
--- a/src/foxtailsaddle/forward/_endpoint_notices.py
+++ b/src/foxtailsaddle/forward/_endpoint_notices.py
@@ -46,7 +46,7 @@
     :param per_s: requests per second, infinite for no limit.
     """
     limit = NamedLimit(entry.id, entry.born_ms, per_s, trio.current_time())
-    if not fleet.endpoint_limits.record(limit):
+    if not fleet.record_limit(limit):
         return
     if per_s == NO_LIMIT:
         limits_logger.info("limits: limit ended", extra={"endpoint": entry.id})
--- a/src/foxtailsaddle/forward/_fleet.py
+++ b/src/foxtailsaddle/forward/_fleet.py
@@ -20,6 +20,7 @@
     JobId,
     LimitOverlap,
     ListedEndpoint,
+    NamedLimit,
     PromptPartGuard,
     PromptPartId,
     RefusalReply,
@@ -30,6 +31,7 @@
 )
 
 logger = logging.getLogger("foxtailsaddle.crashes")
+limits_logger = logging.getLogger("foxtailsaddle.limits")
 
 FINGERPRINT_BYTES = 12
 DEATH_MEMORY_S = 120.0  # for which an endpoint's crash counts against a request
@@ -70,6 +72,9 @@
     ) -> None:
         """Send that parts which were suspected ran successfully some time ago."""
 
+    def notify_limit(self, limit: NamedLimit) -> None:
+        """Send what an endpoint says of its limit."""
+
     def notify_part_trial(self, parts: tuple[PromptPartId, ...], for_s: float) -> None:
         """Send that this instance tries suspected parts with one request."""
 
@@ -262,6 +267,26 @@
         self.part_guard.claim_trial(parts, for_s, now)
         self.notifier.notify_part_trial(parts, for_s)
 
+    def record_limit(self, limit: NamedLimit) -> bool:
+        """Record and send an endpoint's limit; return whether it has changed."""
+        has_changed = self.endpoint_limits.record(limit)
+        if has_changed:
+            self.notifier.notify_limit(limit)
+        return has_changed
+
+    def listed_limits(self) -> list[NamedLimit]:
+        """Return what listed endpoints said that have named a limit."""
+        limits = self.endpoint_limits.known()
+        return [limit for limit in limits if limit.endpoint in self.endpoints]
+
+    def take_over_limit(self, limit: NamedLimit) -> None:
+        """Record what an endpoint said of its limit to another instance."""
+        if self.endpoint_limits.record(limit):
+            limits_logger.info(
+                "limits: limit heard from another instance",
+                extra={"endpoint": limit.endpoint, "per_s": limit.per_s},
+            )
+
     def may_retry(self, service: t.Any, now: float) -> bool:
         """Take one retry out of the shared budget; false if it is used up."""
         return self.retries.take(service, now, self.count_live_instances())
--- a/src/foxtailsaddle/forward/_peers.py
+++ b/src/foxtailsaddle/forward/_peers.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import logging
+import random
 import secrets
 import typing as t
 
@@ -15,9 +16,11 @@
     InstanceId,
     Job,
     JobId,
+    NamedLimit,
     PromptPartId,
     RefusedPart,
     StoreVersion,
+    owner_of,
 )
 from ._datagrams import (
     NO_VERSION,
@@ -26,6 +29,7 @@
     JobBegan,
     JobEnded,
     JobPlaced,
+    LimitNamed,
     ListChanged,
     PartRefused,
     PartsCleared,
@@ -36,6 +40,7 @@
     encode,
 )
 from ._fleet import FleetState
+from ._peer_updates import PeerUpdates
 
 logger = logging.getLogger("foxtailsaddle.peers")
 
@@ -51,6 +56,7 @@
 LARGE_FLEET_PEERS = 16  # more peers receive in batches, and plain calls aren't sent
 RECEIVE_PAUSE_S = 0.02  # between two batches
 INCARNATION_BITS = 63
+NO_INSTANCE = InstanceId("")
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,7 +95,7 @@
     :param host: this instance's address for datagrams.
     :param port: UDP port for datagrams, the same on all instances.
     :ivar dropped_updates: updates that were not sent, since too many were waiting.
-    :ivar on_list_changed: called with each change of the list that a peer sends.
+    :ivar updates: applies what peers send.
     :ivar on_datagram_received: called with the sender of each datagram, before the
         updates in it are applied.
     :ivar on_rejoined: called when this instance hears another one, after it has
@@ -115,7 +121,7 @@
         self.leaving = False
         self.reads_store = False
         self.list_version = NO_VERSION
-        self.on_list_changed: t.Callable[[ListChanged], None] = lambda _: None
+        self.updates = PeerUpdates(fleet)
         self.on_datagram_received: t.Callable[[Peer], None] = lambda _: None
         self.on_rejoined: t.Callable[[], None] = lambda: None
 
@@ -230,6 +236,16 @@
         """Send that this instance tries suspected parts with one request."""
         self._queue_update(PartTrialClaimed(parts, for_s))
 
+    def notify_limit(self, limit: NamedLimit) -> None:
+        """Send what an endpoint says of its limit."""
+        self._queue_update(limit_update(limit, trio.current_time()))
+
+    def send_to(self, instance: InstanceId, update: Update) -> None:
+        """Send an update to one other instance at once."""
+        peer = self._peer_by_id.get(instance)
+        if peer is not None:
+            self._send(peer.address, [update], wants_reply=False)
+
     def notify_list_changed(self, update: ListChanged) -> None:
         """Send that an entry of the list of endpoints has changed in the store."""
         self._queue_update(update)
@@ -294,13 +310,14 @@
         return bool(peer.last_heard_at) and silent_s <= self._peer_timeout_s
 
     def _send_heartbeat(self) -> None:
-        """Send this instance's state and the parts that it refuses to all others.
+        """Send this instance's state, refused parts and known limits to all others.
 
-        A refusal must reach each instance, also one that missed the first datagram.
+        Refusals and limits must reach each instance, also one that missed the first
+        datagram.
         """
         self._last_broadcast_at = trio.current_time()
-        refusals = self._refusals()[:UPDATES_PER_DATAGRAM]
-        data = encode(self._new_header(wants_reply=False), refusals)
+        repeated = [*self._refusals()[:UPDATES_PER_DATAGRAM], *self._granted_limits()]
+        data = encode(self._new_header(wants_reply=False), repeated)
         for peer in self._peer_by_id.values():
             self._send_bytes(peer.address, data)
 
@@ -308,6 +325,29 @@
         refused_parts = self._fleet.part_guard.refused_parts(trio.current_time())
         return [PartRefused(refused) for refused in refused_parts]
 
+    def _granted_limits(self) -> list[Update]:
+        """Return some of the limits whose requests this instance grants."""
+        now = trio.current_time()
+        limits = [
+            limit_update(limit, now)
+            for limit in self._fleet.listed_limits()
+            if self.granting_instance(limit.endpoint) == self._fleet.instance
+        ]
+        return random.sample(limits, min(UPDATES_PER_DATAGRAM, len(limits)))
+
+    def granting_instance(
+        self, endpoint: EndpointId, passed_over: InstanceId = NO_INSTANCE
+    ) -> InstanceId:
+        """Return the instance that grants requests to an endpoint with a limit.
+
+        :param passed_over: is left out.
+        """
+        members = [peer.id for peer in self.live() if not peer.leaving]
+        if not self.leaving:
+            members.append(self._fleet.instance)
+        others = [member for member in members if member != passed_over]
+        return owner_of(endpoint, others) or self._fleet.instance
+
     def _broadcast(self, updates: t.Sequence[Update]) -> None:
         if not self._peer_by_id:
             return
@@ -367,7 +407,7 @@
         if header.sender != self._fleet.instance:
             self._handle_header(header, address)
             for update in updates:
-                self._apply(update)
+                self.updates.apply(header.sender, update)
         return True
 
     def _handle_header(self, header: DatagramHeader, address: tuple[str, int]) -> None:
@@ -405,6 +445,7 @@
         """Send running jobs and the evidence on parts to a peer that has appeared."""
         now = trio.current_time()
         updates = self._refusals()
+        updates += [limit_update(limit, now) for limit in self._fleet.listed_limits()]
         vouched_parts = self._fleet.part_guard.vouched_parts(now)
         if vouched_parts:
             age_s = self._fleet.part_guard.success_age_s(vouched_parts, now)
@@ -419,26 +460,7 @@
             batch = updates[start : start + UPDATES_PER_DATAGRAM]
             self._send(address, batch, wants_reply=False)
 
-    def _apply(self, update: Update) -> None:
-        now = trio.current_time()
-        fleet = self._fleet
-        match update:
-            case JobPlaced():
-                update.job.placed_at = now
-                fleet.engine_loads.place(update.job, update.decode_ms, now)
-            case JobBegan():
-                fleet.engine_loads.begin(update.job, now)
-            case JobEnded():
-                fleet.apply_end(update.job, update.endpoint, update.outcome, now)
-            case SlowdownChanged():
-                fleet.health.record_slowdown(update.endpoint, update.slowdown, now)
-            case ListChanged():
-                self.on_list_changed(update)
-            case EndpointDied():
-                fleet.apply_death(update.death, now)
-            case PartRefused():
-                fleet.take_over_refusal(update.refused, now)
-            case PartsCleared():
-                fleet.apply_success(update.fingerprint, update.parts, update.age_s, now)
-            case PartTrialClaimed():
-                fleet.part_guard.claim_trial(update.parts, update.for_s, now)
+
+def limit_update(limit: NamedLimit, now: float) -> LimitNamed:
+    """Return the update that tells another instance of a limit."""
+    return LimitNamed(limit.endpoint, limit.born_ms, limit.per_s, now - limit.heard_at)
--- a/src/foxtailsaddle/forward/_plain.py
+++ b/src/foxtailsaddle/forward/_plain.py
@@ -25,19 +25,22 @@
 from ._crash_detector import CrashDetector
 from ._error_groups import unwrap_error_group
 from ._fleet import FleetState
+from ._limit_gate import LimitGate
 from ._request_context import RequestContext
 from ._retrying import (
     can_run_again,
     claim_retry,
     eligible_endpoints,
     final_error,
+    max_limit_wait_s,
     may_attempt_again,
 )
 
 logger = logging.getLogger("foxtailsaddle.plain")
 
-EXPECTED_DURATION_MS = 150.0  # of a request to a plain service
+EXPECTED_DURATION_S = 0.15  # of a request to a plain service
 MAX_ATTEMPTS = 4
+MAX_LIMIT_REFUSALS = 8  # until a request is refused because of limits
 FIRST_ATTEMPT_TIME_SHARE = 0.5  # of the time left, if another attempt may follow
 CLAIM_INTERVAL_S = 0.1  # between two tries to go on at another endpoint
 RETRY_AFTER_S = 0.3
@@ -64,12 +67,14 @@
         data_centre: DataCentre,
         job_ids: JobIdGenerator,
         crash_detector: CrashDetector,
+        limit_gate: LimitGate,
     ) -> None:
         self._fleet = fleet
         self._header_codec = header_codec
         self._data_centre = data_centre
         self._job_ids = job_ids
         self._crash_detector = crash_detector
+        self._limit_gate = limit_gate
 
     async def forward(self, context: RequestContext) -> None:
         """Forward a request and pass the response on to the caller.
@@ -92,7 +97,7 @@
                 self._fleet, context, trio.current_time()
             ):
                 break
-            endpoint = self._choose(context)
+            endpoint = await self._choose_admitted(context)
             if endpoint is None:
                 break
             context.attempts += 1
@@ -144,11 +149,26 @@
             },
         )
 
+    async def _choose_admitted(self, context: RequestContext) -> ListedEndpoint | None:
+        """Choose an endpoint, and wait until its limit allows a request."""
+        for _ in range(MAX_LIMIT_REFUSALS):
+            endpoint = self._choose(context)
+            if endpoint is None:
+                return None
+            max_wait_s = max_limit_wait_s(context, trio.current_time())
+            if await self._limit_gate.admit(endpoint, max_wait_s):
+                return endpoint
+        return None
+
     def _choose(self, context: RequestContext) -> ListedEndpoint | None:
         now = trio.current_time()
         available = self._fleet.available(context.service.id, now)
         usable = eligible_endpoints(
-            self._fleet, available, context.tried_endpoints, now
+            self._fleet,
+            available,
+            context.tried_endpoints,
+            max_limit_wait_s(context, now),
+            now,
         )
         by_id = {entry.id: entry for entry in usable}
         candidates = [self._candidate(entry, now) for entry in by_id.values()]
@@ -161,6 +181,8 @@
             data_centre=entry.data_centre,
             in_flight=self._fleet.engine_loads.load(entry.id, now).requests,
             failure_share=self._fleet.health.failure_share(entry.id, now),
+            limit_wait_calls=self._fleet.endpoint_limits.wait_s(entry, now)
+            / EXPECTED_DURATION_S,
             preference=self._preference(),
             tie_break=random.random(),
         )
@@ -192,7 +214,7 @@
             self._header_codec,
             context,
             self._new_job(entry.id),
-            EXPECTED_DURATION_MS,
+            EXPECTED_DURATION_S * 1000,
             self._fleet.announces_calls(),
         ) as attempt:
             with trio.move_on_after(remaining_s) as attempt_scope, unwrap_error_group():
--- a/src/foxtailsaddle/forward/_reports.py
+++ b/src/foxtailsaddle/forward/_reports.py
@@ -35,7 +35,8 @@
     """Polls the load reports of the engines that this instance owns.
 
     Each report is charged, so only one instance asks for it and sends the result to
-    the others.
+    the others. An engine with a limit is not asked: a report would be one of the
+    requests that it takes.
     """
 
     def __init__(
@@ -52,8 +53,10 @@
             await trio.sleep(REPORT_INTERVAL_S)
             now = trio.current_time()
             available = self._fleet.holds.available(self._owned_engines(), now)
+            limits = self._fleet.endpoint_limits
+            unlimited = [e for e in available if limits.limit_of(e) is None]
             async with trio.open_nursery() as nursery:
-                for entry in available:
+                for entry in unlimited:
                     nursery.start_soon(self._poll, entry)
 
     def _owned_engines(self) -> list[ListedEndpoint]:
--- a/src/foxtailsaddle/forward/_request_context.py
+++ b/src/foxtailsaddle/forward/_request_context.py
@@ -39,6 +39,7 @@
     :param fingerprint: digest that repetitions of the same request share.
     :param arrived_at: when the first byte of the request was read.
     :param expires_at: when the time that the caller or the route allows is over.
+    :param priority: 0 is the highest.
     :param possible_runs: number of endpoints that may have run the request.
     :param attempts: number of attempts that were started.
     :param has_claimed_retry: a retry was taken out of the budget for the next attempt.
@@ -62,6 +63,7 @@
     arrived_at: float
     expires_at: float
     response_writer: ResponseWriter
+    priority: int = 0
     possible_runs: int = 0
     attempts: int = 0
     has_claimed_retry: bool = False
--- a/src/foxtailsaddle/forward/_reservations.py
+++ b/src/foxtailsaddle/forward/_reservations.py
@@ -11,6 +11,7 @@
 from ..ports import EngineControl
 from ._error_groups import unwrap_error_group
 from ._fleet import FleetState
+from ._limit_gate import LimitGate
 
 logger = logging.getLogger("foxtailsaddle.memory")
 
@@ -48,12 +49,14 @@
         self,
         fleet: FleetState,
         engine_control: EngineControl,
+        limit_gate: LimitGate,
         nursery: trio.Nursery,
         longest_s: float = LEASE_S,
     ) -> None:
         self.lease_s = min(LEASE_S, longest_s)
         self._fleet = fleet
         self._engine_control = engine_control
+        self._limit_gate = limit_gate
         self._nursery = nursery
 
     @contextlib.asynccontextmanager
@@ -90,6 +93,12 @@
             addresses[helper] = entry.address
         return addresses
 
+    def charge_limit(self, endpoint: EndpointId) -> None:
+        """Count an order as a request, if the engine has a limit."""
+        entry = self._fleet.endpoints.get(endpoint)
+        if entry is not None:
+            self._limit_gate.charge(entry)
+
     @property
     def engine_control(self) -> EngineControl:
         """Client for the engines' memory."""
@@ -135,6 +144,7 @@
     async def _reserve(self, endpoint: EndpointId) -> None:
         address = self._addresses[endpoint]
         tokens = self._job.reserved_by_endpoint[endpoint]
+        self._reservations.charge_limit(endpoint)
         try:
             was_reserved = await self._reservations.engine_control.reserve(
                 address, self._id, tokens, self._reservations.lease_s
@@ -164,6 +174,7 @@
                 await self._release(endpoint)
 
     async def _release(self, endpoint: EndpointId) -> None:
+        self._reservations.charge_limit(endpoint)
         try:
             await self._reservations.engine_control.release(
                 self._addresses[endpoint], self._id
--- a/src/foxtailsaddle/forward/_retrying.py
+++ b/src/foxtailsaddle/forward/_retrying.py
@@ -12,6 +12,9 @@
 from ._fleet import FleetState
 from ._request_context import RequestContext
 
+MAX_WAIT_SHARE = 0.5  # of the time until the answer is late, for an endpoint's limit
+MAX_RESUMED_WAIT_S = 1.0  # for a limit, of an answer that has begun
+
 
 def can_run_again(context: RequestContext) -> bool:
     """Return whether the request may run at one more endpoint."""
@@ -45,21 +48,48 @@
     fleet: FleetState,
     available: t.Sequence[ListedEndpoint],
     tried: t.Collection[EndpointId],
+    max_wait_s: float,
     now: float,
 ) -> t.Sequence[ListedEndpoint]:
     """Return the endpoints that an attempt is to use.
 
-    Endpoints that failed this request, or that only fail at present, are left out as
-    long as there are others.
+    Endpoints whose limit allows no request in time are left out. Those that failed this
+    request, or that only fail at present, are left out as long as there are others.
 
     :param available: the endpoints of the service that may get requests.
     :param tried: endpoints that failed this request.
+    :param max_wait_s: longest time that the request may wait at a limit.
     """
+    available = fleet.endpoint_limits.within(available, max_wait_s, now)
     untried = [entry for entry in available if entry.id not in tried]
     good = [entry for entry in untried if not fleet.health.is_failing(entry.id, now)]
     return good or untried or available
 
 
+def max_limit_wait_s(context: RequestContext, now: float) -> float:
+    """Return how long a request may wait until an endpoint's limit allows it.
+
+    Requests of a higher priority may wait longer, so that they get ahead of the others
+    while the limit is used up, and so may answers that have begun.
+    """
+    remaining_s = max(0.0, context.remaining_s(now))
+    if context.response_writer.started:
+        return min(remaining_s, MAX_RESUMED_WAIT_S)
+    target_s = context.arrived_at + context.route.first_event_target_s - now
+    share = MAX_WAIT_SHARE / (1 + context.priority)
+    return share * max(0.0, min(remaining_s, target_s))
+
+
+def limit_wait_s(fleet: FleetState, context: RequestContext, now: float) -> float:
+    """Return the time until a limit at the service may allow a request.
+
+    Returns 0 if one of its endpoints has no limit.
+    """
+    usable = fleet.endpoints.usable(context.service.id)
+    waits = [fleet.endpoint_limits.wait_s(entry, now) for entry in usable]
+    return min(waits, default=0.0)
+
+
 def final_error(
     fleet: FleetState,
     context: RequestContext,
@@ -73,11 +103,16 @@
 
     :param error: the error of the last attempt.
     :param min_retry_after_s: shortest time after which the caller may return, in
-        seconds. It is longer while all endpoints of the service have asked for a pause.
+        seconds. It is longer while all endpoints of the service have asked for a pause
+        or have a limit that is used up.
     """
     if not context.possible_runs:
         usable = fleet.endpoints.usable(context.service.id)
-        retry_after_s = max(min_retry_after_s, fleet.holds.pause_left_s(usable, now))
+        retry_after_s = max(
+            min_retry_after_s,
+            fleet.holds.pause_left_s(usable, now),
+            limit_wait_s(fleet, context, now),
+        )
         return NoEndpointError(str(error), retry_after_s=retry_after_s)
     if context.remaining_s(now) <= 0:
         return DeadlineExceededError(str(error), verdict=context.verdict)
--- a/src/foxtailsaddle/forward/_store_sync.py
+++ b/src/foxtailsaddle/forward/_store_sync.py
@@ -99,7 +99,7 @@
             lambda: peers.reads_store,
         )
         peers.on_rejoined = self._registration.request_renewal
-        peers.on_list_changed = self._apply_list_change
+        peers.updates.on_list_changed = self._apply_list_change
         peers.on_datagram_received = self._check_peer_versions
 
     async def run(self) -> None:
--- a/src/foxtailsaddle/forward/_stream_placer.py
+++ b/src/foxtailsaddle/forward/_stream_placer.py
@@ -74,6 +74,7 @@
         demand: PromptDemand,
         tried: t.Collection[EndpointId],
         full: t.Collection[EndpointId],
+        max_limit_wait_s: float,
         now: float,
     ) -> StreamPlan | None:
         """Return the engines for the prefill and the decoding of a prompt.
@@ -82,6 +83,7 @@
 
         :param tried: engines that failed this request.
         :param full: engines that have just refused to reserve memory for it.
+        :param max_limit_wait_s: longest time that it may wait at an engine's limit.
         """
         time = EngineTime(spec)
         is_long = time.prefill_ms(demand.prompt_tokens) >= LONG_PROMPT_PREFILL_MS
@@ -89,8 +91,10 @@
         available = self._fleet.holds.available(self._ordered_engines(service), now)
         sample = self._sampling.sample(available, count)
         candidates = [
-            self._candidate(entry.id, entry.data_centre, full, now)
-            for entry in eligible_endpoints(self._fleet, sample, tried, now)
+            self._candidate(entry, full, now)
+            for entry in eligible_endpoints(
+                self._fleet, sample, tried, max_limit_wait_s, now
+            )
         ]
         return place_stream(
             demand, candidates, time, self._data_centre, self._order_key
@@ -103,7 +107,9 @@
         requests, since there is then nothing to wait for.
         """
         requests = self._fleet.engine_loads.requests
-        available = self._fleet.available(service, trio.current_time())
+        now = trio.current_time()
+        available = self._fleet.available(service, now)
+        available = self._fleet.endpoint_limits.within(available, 0.0, now)
         return not available or any(
             requests(entry.id) < spec.slots for entry in available
         )
@@ -119,20 +125,23 @@
 
     def _candidate(
         self,
-        endpoint: EndpointId,
-        data_centre: DataCentre,
+        entry: ListedEndpoint,
         full: t.Collection[EndpointId],
         now: float,
     ) -> EngineCandidate:
+        endpoint = entry.id
         health = self._fleet.health
+        limits = self._fleet.endpoint_limits
         return EngineCandidate(
             id=endpoint,
-            data_centre=data_centre,
+            data_centre=entry.data_centre,
             load=self._fleet.engine_loads.load(endpoint, now),
             slowdown=health.slowdown(endpoint, now),
             failure_share=health.failure_share(endpoint, now),
             stall_suspicion=health.stall_suspicion(endpoint, now),
             can_reserve=endpoint not in full,
+            can_help=limits.limit_of(entry) is None,
+            limit_wait_ms=limits.wait_s(entry, now) * 1000,
         )
 
     def _order_key(self, endpoint: EndpointId) -> float:
--- a/src/foxtailsaddle/forward/_streams.py
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -24,16 +24,23 @@
 from ._attempt import Attempt, JobIdGenerator, RefusedError
 from ._crash_detector import CrashDetector
 from ._fleet import FleetState
+from ._limit_gate import LimitGate
 from ._part_checks import PartChecks
 from ._request_context import RequestContext
 from ._reservations import MemoryFullError, Reservations
-from ._retrying import can_run_again, final_error, may_attempt_again
+from ._retrying import (
+    can_run_again,
+    final_error,
+    max_limit_wait_s,
+    may_attempt_again,
+)
 from ._slot_queues import SlotQueues
 from ._stream_logs import log_failure, log_placed
 from ._stream_placer import StreamPlacer
 from ._stream_timeouts import EngineSilentError, EventGaps, SilenceTimeout
 
 MAX_ATTEMPTS = 6
+MAX_LIMIT_REFUSALS = 8  # until a request is refused because of limits
 RETRY_AFTER_S = 0.5
 SERVER_ERROR = 500
 OK = 200
@@ -63,6 +70,7 @@
         reservations: Reservations,
         crash_detector: CrashDetector,
         part_checks: PartChecks,
+        limit_gate: LimitGate,
     ) -> None:
         self._fleet = fleet
         self._header_codec = header_codec
@@ -72,6 +80,7 @@
         self._reservations = reservations
         self._crash_detector = crash_detector
         self._part_checks = part_checks
+        self._limit_gate = limit_gate
 
     async def forward(self, context: RequestContext) -> None:
         """Forward a request and stream the response to the caller.
@@ -87,14 +96,9 @@
                 self._fleet, context, trio.current_time()
             ):
                 break
-            if not buffer.event_count:
-                await self._slot_queues.wait_for_slot(
-                    context, lambda: self._plan(context)
-                )
-            plan = self._plan(context)
+            plan = await self._next_plan(context, buffer)
             if plan is None:
                 break
-            self._refuse_if_too_late(context, plan)
             await self._part_checks.check_attempt(context, plan.first_event_ms / 1000)
             context.attempts += 1
             context.has_succeeded = False
@@ -118,6 +122,32 @@
             self._fleet, context, error, trio.current_time(), RETRY_AFTER_S
         )
 
+    async def _next_plan(
+        self, context: RequestContext, buffer: EventBuffer
+    ) -> StreamPlan | None:
+        """Wait for a slot and for the limit of the main engine; return the plan.
+
+        Returns ``None`` if no engine may get the request in time.
+        """
+        for _ in range(MAX_LIMIT_REFUSALS):
+            if not buffer.event_count:
+                await self._slot_queues.wait_for_slot(
+                    context, lambda: self._plan(context)
+                )
+            plan = self._plan(context)
+            if plan is None:
+                return None
+            self._refuse_if_too_late(context, plan)
+            if await self._admit(context, plan):
+                return plan
+        return None
+
+    async def _admit(self, context: RequestContext, plan: StreamPlan) -> bool:
+        """Wait until the limit of the main engine allows the request."""
+        entry = self._fleet.endpoints.get(plan.endpoint)
+        max_wait_s = max_limit_wait_s(context, trio.current_time())
+        return entry is None or await self._limit_gate.admit(entry, max_wait_s)
+
     def _refuse_if_too_late(self, context: RequestContext, plan: StreamPlan) -> None:
         """Refuse a request whose first event is predicted after its deadline.
 
@@ -164,6 +194,7 @@
             demand,
             [*context.tried_endpoints, *excluded],
             context.full_endpoints,
+            max_limit_wait_s(context, now),
             now,
         )
 
--- a/src/foxtailsaddle/forward/notes.capnp
+++ b/src/foxtailsaddle/forward/notes.capnp
@@ -30,6 +30,9 @@
     refusedPart @6 :RefusedPart;
     clearedParts @7 :ClearedParts;
     partTrial @8 :PartTrial;
+    limit @9 :Limit;
+    grantRequest @10 :GrantRequest;
+    grantReply @11 :GrantReply;
   }
 }
 
@@ -98,6 +101,26 @@
   forS @1 :Float32;
 }
 
+struct Limit {
+  endpoint @0 :Text;
+  start @1 :UInt64;
+  perS @2 :Float64;  # infinite once the limit has ended
+  ageS @3 :Float32;
+}
+
+struct GrantRequest {
+  number @0 :UInt64;
+  limit @1 :Limit;
+  maxWaitS @2 :Float32;
+  passedOver @3 :Text;
+}
+
+struct GrantReply {
+  number @0 :UInt64;
+  granted @1 :Bool;
+  waitS @2 :Float32;
+}
+
 struct Snapshot {
   configurationRow @0 :Data;
   endpoints @1 :List(Entry);
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -73,9 +73,9 @@
         assert limits.record(limit(4.0, 1.0))
         assert not limits.record(limit(4.0, 2.0))
         assert limits.record(limit(2.0, 3.0))
-        assert limits.limit(entry()) == 2.0
+        assert limits.limit_of(entry()).per_s == 2.0
         assert limits.record(limit(NO_LIMIT, 4.0))
-        assert limits.limit(entry()) == NO_LIMIT
+        assert limits.limit_of(entry()) is None
 
     # Guards against a limit that comes back by an announcement from before its end.
     def test_an_earlier_statement_does_not_bring_it_back(self):
@@ -83,12 +83,12 @@
         limits.record(limit(4.0, 1.0))
         limits.record(limit(NO_LIMIT, 3.0))
         assert not limits.record(limit(4.0, 2.0))
-        assert limits.limit(entry()) == NO_LIMIT
+        assert limits.limit_of(entry()) is None
 
     def test_a_later_start_has_no_limit(self):
         limits = EndpointLimits()
         limits.record(limit(4.0, 1.0))
-        assert limits.limit(entry(BORN_MS + 1)) == NO_LIMIT
+        assert limits.limit_of(entry(BORN_MS + 1)) is None
         assert limits.record(limit(4.0, 2.0, BORN_MS + 1))
         assert not limits.record(limit(9.0, 3.0, BORN_MS))
 
@@ -126,4 +126,4 @@
             runner.fault = fault
             await world.ask(world.apps[0], "/unsafe/x")
         (listed,) = world.apps[0].fleet.endpoints.all()
-        assert world.apps[0].fleet.endpoint_limits.limit(listed) == 50.0
+        assert world.apps[0].fleet.endpoint_limits.limit_of(listed).per_s == 50.0
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -19,6 +19,8 @@
 )
 from foxtailsaddle.errors import ExchangeBrokenError, NothingSentError
 from foxtailsaddle.forward._fleet import FleetState
+from foxtailsaddle.forward._limit_gate import LimitGate
+from foxtailsaddle.forward._peers import Peers
 from foxtailsaddle.forward._reservations import LEASE_S, MemoryFullError, Reservations
 
 HELPERS = (EndpointId("h1"), EndpointId("h2"))
@@ -71,6 +73,12 @@
         )
 
 
+def new_reservations(engines, nursery):
+    fleet = make_fleet()
+    gate = LimitGate(fleet, Peers(fleet, "", "127.0.0.1", 0))
+    return Reservations(fleet, engines, gate, nursery)
+
+
 def make_fleet():
     fleet = FleetState(InstanceId("i1"), RetryWindow(0.2, 10.0, 100.0))
     for helper in HELPERS:
@@ -102,7 +110,7 @@
     async def main():
         async with trio.open_nursery() as nursery:
             engines.nursery = nursery
-            await scenario(Reservations(make_fleet(), engines, nursery))
+            await scenario(new_reservations(engines, nursery))
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
