--- a/standins/front_world.py
+++ b/standins/front_world.py
@@ -11,6 +11,7 @@
 from foxtailsaddle import forward, platform
 from foxtailsaddle.core import DataCentre, InstanceId
 
+from .cuts import CutKind, InstanceCut, intercepted_sockets, present_cut
 from .ports import PortReservation, loopback_network
 from .rows import RowStore, store_server
 from .runner import Runner
@@ -119,6 +120,7 @@
         self.runners: dict[str, Runner] = {}
         self.apps: list[forward.FrontApplication] = []
         self._scopes: list[trio.CancelScope] = []
+        self._cuts: list[InstanceCut] = []
         self._port_reservations: list[PortReservation] = []
         self._counter = 0
 
@@ -199,9 +201,27 @@
         self.apps.append(app)
         scope = trio.CancelScope()
         self._scopes.append(scope)
-        self._nursery.start_soon(_run, app, scope)
+        cut = InstanceCut()
+        self._cuts.append(cut)
+        self._nursery.start_soon(_run, app, scope, cut)
         return app
 
+    def cut_off(
+        self,
+        app: forward.FrontApplication,
+        kind: CutKind,
+        runners: t.Iterable[Runner] | None = None,
+    ) -> None:
+        """Cut an instance off from runners, by default from all."""
+        runners = self.runners.values() if runners is None else runners
+        addresses = [runner.server.address.rpartition(":") for runner in runners]
+        pairs = [(host, int(port)) for host, _, port in addresses]
+        self._cuts[self.apps.index(app)].begin(kind, pairs)
+
+    def heal(self, app: forward.FrontApplication) -> None:
+        """Let an instance reach all runners again."""
+        self._cuts[self.apps.index(app)].heal()
+
     def kill(self, app: forward.FrontApplication) -> None:
         """Cancel an instance without a shutdown."""
         self._scopes[self.apps.index(app)].cancel()
@@ -341,7 +361,10 @@
                 return reply
 
 
-async def _run(app: forward.FrontApplication, scope: trio.CancelScope) -> None:
+async def _run(
+    app: forward.FrontApplication, scope: trio.CancelScope, cut: InstanceCut
+) -> None:
+    present_cut.set(cut)
     with scope:
         await app.run()
 
@@ -368,7 +391,7 @@
 
     :param options: replace settings of each instance.
     """
-    with trio.fail_after(30):
+    with trio.fail_after(30), intercepted_sockets():
         async with trio.open_nursery() as nursery:
             world = FrontWorld(nursery)
             nursery.start_soon(_close_at_end, world)
