An instance that is cut off from endpoints reaches them through another one

Cause: an instance took its own view of an endpoint for the endpoint's state, and had no other way there.

Connections to endpoints are opened by one function now: directly, and if that fails or takes longer than 0.15 s, by an HTTP CONNECT to another instance, which only passes on bytes to a listed endpoint, for a known process, over one hop. Placement, retries, at-most-once, streams and reservations stay where they were. The bytes from an endpoint come in frames with an end mark, so that the end of a relaying process doesn't look like that of an answer. A path that only others reach is marked and tried again in the background, a few at a time; two such paths and none reached since make an instance cut off, which it tells the others. Weighed against it: handing whole requests over (a second owner of retries and of the verdict that a request has not run), and not being ready (open connections and a data centre that is cut as a whole stay lost).

Evidence: a refused connection proves the end of a process only if an instance that reaches another endpoint at that moment says so too, or there is no other instance. Failures of connections are told to the others after the path was tried, silences only by an instance that has just connected to some endpoint; crash evidence of cut paths is discarded.

--- a/src/foxtailsaddle/core/__init__.py
+++ b/src/foxtailsaddle/core/__init__.py
@@ -31,6 +31,7 @@
     "EndpointLimits": "._endpoint_limits",
     "EndpointList": "._endpoint_list",
     "EndpointNotice": "._endpoint_holds",
+    "EndpointPaths": "._endpoint_paths",
     "EndpointState": "._endpoint_list",
     "EngineLoadTracker": "._engine_loads",
     "EngineCandidate": "._engine_estimates",
--- a/src/foxtailsaddle/errors.py
+++ b/src/foxtailsaddle/errors.py
@@ -219,14 +219,22 @@
 
     :param connection_refused: the server refused the connection, because no process
         listens at the address.
+    :param is_confirmed: false if the path to the server may be at fault.
     """
 
     code = "nothing_sent"
     status = 502
 
-    def __init__(self, message: str, *, connection_refused: bool = False) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        connection_refused: bool = False,
+        is_confirmed: bool = True,
+    ) -> None:
         super().__init__(message)
         self.connection_refused = connection_refused
+        self.is_confirmed = is_confirmed
 
 
 class ExchangeBrokenError(FoxtailsaddleError):
--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -19,7 +19,9 @@
 from ._connection import ClientConnection, LifecycleStage
 from ._crash_detector import CrashDetector
 from ._datagrams import Snapshot, encode_snapshot
+from ._endpoint_connector import EndpointConnector
 from ._endpoint_notices import record_notice_at
+from ._exchange import KeepAliveHttpClient
 from ._fleet import FleetState
 from ._internal_pages import Page, serve_pages
 from ._limit_gate import LimitGate
@@ -27,6 +29,7 @@
 from ._part_checks import PartChecks
 from ._peers import Peers
 from ._plain import PlainForwarder
+from ._relay_server import RelayServer
 from ._reports import ReportPoller
 from ._reservations import Reservations
 from ._slot_queues import SlotQueues
@@ -151,8 +154,12 @@
             settings.control,
             settings.host,
             settings.peer_port,
+            settings.data_centre,
         )
         self.fleet.notifier = self.peers
+        self.connector = EndpointConnector(self.fleet, self.peers, settings.data_centre)
+        self.fleet.connect = self.connector.connect
+        self.relay_server = RelayServer(self.fleet, self.peers)
         self.fleet.count_live_instances = self.peers.count_live_instances
         self.fleet.announces_calls = lambda: not self.peers.is_large_fleet
         self.store_sync = StoreSync(
@@ -164,6 +171,9 @@
             settings.drain_timeout_s,
             settings.recovery_timeout_s,
         )
+        env.engine_control.client_for = functools.partial(
+            KeepAliveHttpClient, connect=self.connector.connect
+        )
         env.engine_control.on_notice = functools.partial(record_notice_at, self.fleet)
         self.report_poller = ReportPoller(self.fleet, self.peers, env.engine_control)
         self.metrics = ForwardMetrics()
@@ -183,6 +193,7 @@
             self._add_seeds()
             background.start_soon(keep_running, self.store_sync.run)
             background.start_soon(keep_running, self.report_poller.run)
+            background.start_soon(keep_running, self.connector.run)
             background.start_soon(self._serve_internal_pages)
             async with trio.open_nursery() as clients:
                 clients.start_soon(
@@ -351,7 +362,12 @@
         return began_at + self._settings.grace_s - GRACE_MARGIN_S
 
     def _is_idle(self) -> bool:
-        """Return whether no connection waits to be accepted or has a request."""
+        """Return whether no connection waits to be accepted or has a request.
+
+        Connections that are passed on for other instances count as requests.
+        """
+        if self.relay_server.open_connections:
+            return False
         return not self._has_waiting_connection() and all(
             connection.is_idle for connection in self._connections
         )
@@ -385,7 +401,9 @@
             nursery.start_soon(serve_pages, settings.ready, ready)
             if settings.control:
                 snapshot = {SNAPSHOT_PATH: self._snapshot_page}
-                nursery.start_soon(serve_pages, settings.control, snapshot)
+                nursery.start_soon(
+                    serve_pages, settings.control, snapshot, self.relay_server.serve
+                )
             nursery.start_soon(self._serve_metrics)
 
     async def _serve_metrics(self) -> None:
--- a/src/foxtailsaddle/forward/_attempt.py
+++ b/src/foxtailsaddle/forward/_attempt.py
@@ -59,6 +59,8 @@
         milliseconds.
     :param is_announced: the other instances are told of the job.
     :ivar outcome: what the attempt says about the health of ``outcome_endpoint``.
+    :ivar is_withheld: the other instances are not told of the outcome, since the path
+        to the endpoint may be at fault.
     :ivar outcome_endpoint: the endpoint that the outcome is counted for.
     """
 
@@ -81,6 +83,7 @@
         self._sent_at = 0.0
         self.job = job
         self.outcome = AttemptOutcome.NEUTRAL
+        self.is_withheld = False
         self.outcome_endpoint: EndpointId = job.endpoint
 
     def __enter__(self) -> "Attempt":
@@ -93,7 +96,12 @@
             self._exchange.close()
         now = trio.current_time()
         self._fleet.end(
-            self.job.id, self.outcome_endpoint, self.outcome, now, self._is_announced
+            self.job.id,
+            self.outcome_endpoint,
+            self.outcome,
+            now,
+            self._is_announced,
+            self.is_withheld,
         )
 
     @contextlib.asynccontextmanager
@@ -115,9 +123,12 @@
             connect_timeout_s = max(
                 MIN_CONNECT_TIMEOUT_S, min(CONNECT_TIMEOUT_S, remaining_s)
             )
-            self._exchange = await Exchange.open(entry.address, connect_timeout_s)
-        except NothingSentError:
+            self._exchange = await Exchange.open(
+                entry.address, connect_timeout_s, connect=self._fleet.connect
+            )
+        except NothingSentError as error:
             self.outcome = AttemptOutcome.UNREACHABLE
+            self.is_withheld = not error.is_confirmed
             raise
         self._check_holds()
         headers = self._header_codec.endpoint_headers(context.headers, dispatch)
@@ -217,8 +228,10 @@
     async def _record_broken(self, reading: t.Awaitable[t.Any]) -> t.Any:
         try:
             return await reading
-        except ExchangeBrokenError:
+        except ExchangeBrokenError as error:
             self.outcome = AttemptOutcome.FAILED
+            # The crash detector tells the others once it has tried the path.
+            self.is_withheld = error.connection_lost
             raise
 
 
--- a/src/foxtailsaddle/forward/_crash_detector.py
+++ b/src/foxtailsaddle/forward/_crash_detector.py
@@ -7,6 +7,7 @@
 import trio
 
 from ..core import (
+    AttemptOutcome,
     CrashEvidence,
     CrashId,
     EndpointCrash,
@@ -22,7 +23,6 @@
 from ._log_fields import logged_parts
 from ._part_checks import RefusalAnnouncer
 from ._request_context import RequestContext
-from ._sockets import connect
 
 logger = logging.getLogger("foxtailsaddle.crashes")
 
@@ -34,6 +34,8 @@
 MAX_SUSPICIONS = 256
 MAX_REQUESTS_PER_SUSPICION = 16
 MAX_REMEMBERED_CRASHES = 1000
+MAX_SENT_FAILURES = 2  # of connections that broke together
+PATH_CHECK_S = 0.5  # before a break, in which its path may have been found cut
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,6 +148,9 @@
         await self._probe(suspicion)
         await trio.sleep_until(suspicion.broken_at + SECOND_PROBE_S)
         await self._probe(suspicion)
+        if self._is_path_at_fault(suspicion):
+            self._discard(suspicion)
+        self._send_failures(suspicion)
         if suspicion.connection_lost:
             await self._follow_list(suspicion)
         self._close(suspicion)
@@ -155,12 +160,14 @@
         if suspicion not in self._open:
             return
         try:
-            sock = await connect(suspicion.endpoint.address, PROBE_TIMEOUT_S)
+            connection = await self._fleet.connect(
+                suspicion.endpoint.address, PROBE_TIMEOUT_S
+            )
         except NothingSentError as error:
             if error.connection_refused:
                 self._conclude(suspicion, CrashEvidence.REFUSED)
         else:
-            sock.close()
+            connection.close()
 
     async def _follow_list(self, suspicion: _Suspicion) -> None:
         """Wait until the list shows a later process in place of the endpoint."""
@@ -176,8 +183,11 @@
 
     def _conclude(self, suspicion: _Suspicion, evidence: CrashEvidence) -> None:
         """Record a crash, unless the endpoint has turned out to leave as planned."""
-        self._close(suspicion)
         endpoint = suspicion.endpoint
+        if self._is_path_at_fault(suspicion):
+            self._discard(suspicion)
+            return
+        self._close(suspicion)
         if self._is_leaving(endpoint):
             return
         crash = self._crash_by_incarnation.get(endpoint.incarnation)
@@ -236,6 +246,32 @@
             },
         )
 
+    def _is_path_at_fault(self, suspicion: _Suspicion) -> bool:
+        """Return whether the connections may have broken on the way."""
+        address = suspicion.endpoint.address
+        since = suspicion.broken_at - PATH_CHECK_S
+        return self._fleet.paths.was_cut(address, since)
+
+    def _discard(self, suspicion: _Suspicion) -> None:
+        """End a suspicion whose connections have broken on the way."""
+        if suspicion not in self._open:
+            return
+        self._close(suspicion)
+        logger.info(
+            "crashes: no evidence, the path was cut",
+            extra={
+                "endpoint": suspicion.endpoint.id,
+                "requests": len(suspicion.requests),
+            },
+        )
+
+    def _send_failures(self, suspicion: _Suspicion) -> None:
+        """Tell the others of failures that were withheld until the path was tried."""
+        if not suspicion.connection_lost or self._is_path_at_fault(suspicion):
+            return
+        for _ in suspicion.requests[:MAX_SENT_FAILURES]:
+            self._fleet.send_outcome(suspicion.endpoint.id, AttemptOutcome.FAILED)
+
     def _close(self, suspicion: _Suspicion) -> None:
         if suspicion in self._open:
             self._open.remove(suspicion)
--- a/src/foxtailsaddle/forward/_datagrams.py
+++ b/src/foxtailsaddle/forward/_datagrams.py
@@ -10,6 +10,7 @@
 from ..core import (
     AttemptOutcome,
     CrashId,
+    DataCentre,
     EndpointDeath,
     EndpointId,
     GrantReply,
@@ -187,6 +188,8 @@
     :param leaving: the sender is about to stop.
     :param reads_store: the sender follows the store and sends its changes.
     :param list_version: version of the last change of the list that the sender has.
+    :param cut_off: the sender reaches no endpoint itself.
+    :param data_centre: of the sender.
     :param wants_reply: the sender is new and asks for a datagram in return.
     """
 
@@ -198,6 +201,8 @@
     reads_store: bool = False
     list_version: StoreVersion = NO_VERSION
     wants_reply: bool = False
+    cut_off: bool = False
+    data_centre: DataCentre = DataCentre("")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -262,6 +267,8 @@
     builder.listVersion = header.list_version.number
     builder.listEra = header.list_version.era
     builder.greeting = header.wants_reply
+    builder.cutOff = header.cut_off
+    builder.dataCentre = header.data_centre
     return builder.to_bytes_packed()
 
 
@@ -277,6 +284,8 @@
         reads_store=reader.reads,
         list_version=StoreVersion(reader.listEra, reader.listVersion),
         wants_reply=reader.greeting,
+        cut_off=reader.cutOff,
+        data_centre=DataCentre(reader.dataCentre),
     )
 
 
--- /dev/null
+++ b/src/foxtailsaddle/forward/_endpoint_connector.py
@@ -0,0 +1,364 @@
+"""Connects to endpoints, directly or through another instance.
+
+The other instance only passes on bytes: which endpoint gets a request, whether it may
+have run and whether it may be repeated is decided here, as with a direct connection.
+"""
+
+import dataclasses
+import logging
+import random
+import typing as t
+
+import h11
+import trio
+
+from ..core import DataCentre
+from ..errors import NothingSentError
+from ._fleet import FleetState
+from ._peers import NO_INSTANCE, Peer, Peers
+from ._relay_frames import RelayedSocket
+from ._relay_server import (
+    INCARNATION_HEADER,
+    INSTANCE_HEADER,
+    OUTCOME_HEADER,
+    REFUSED,
+    STATUS_CONNECTED,
+    STATUS_NOT_REACHED,
+)
+from ._sockets import RECEIVE_BYTES, Connection, connect, send_all
+
+logger = logging.getLogger("foxtailsaddle.paths")
+
+DIRECT_HEAD_START_S = 0.15  # before another instance is asked beside
+RELAY_TIMEOUT_S = 0.35  # of one instance that is asked
+MAX_RELAYS = 4  # instances asked for one connection
+RELAY_STAGGER_S = 0.07  # between the requests to two of them
+RELAY_PAUSE_S = 2.0  # for which an instance that did not connect isn't asked
+DOWN_S = 1.0  # for which an endpoint that others don't reach either isn't asked for
+PROBE_INTERVAL_S = 0.5  # between two tries of direct paths
+PROBE_TIMEOUT_S = 0.3
+MAX_PROBES = 2  # at once while cut off
+MAX_RETURNING_PROBES = 16  # at once while some endpoint is reached
+
+
+class _RelayFailedError(Exception):
+    """Another instance did not say whether it reaches an endpoint."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Race:
+    """A direct connection and one through another instance, of which one is used.
+
+    :ivar direct_error: why there is no direct connection, once that is known.
+    :ivar relay_error: why others don't reach the endpoint either.
+    :ivar relay: the instance through which the connection goes.
+    """
+
+    connection: Connection | None = None
+    direct_error: NothingSentError | None = None
+    relay_error: NothingSentError | None = None
+    relay: Peer | None = None
+    direct_failed: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
+class EndpointConnector:
+    """Connects to endpoints for one instance.
+
+    :param data_centre: of this instance; others of the same one are preferred.
+    """
+
+    def __init__(
+        self, fleet: FleetState, peers: Peers, data_centre: DataCentre
+    ) -> None:
+        self._fleet = fleet
+        self._peers = peers
+        self._data_centre = data_centre
+        self._last_relay = NO_INSTANCE
+        self._down_until_by_address: dict[str, float] = {}
+        self._paused_until_by_peer: dict[str, float] = {}
+
+    async def connect(self, address: str, timeout_s: float) -> Connection:
+        """Connect to the endpoint at ``host:port``.
+
+        :raises NothingSentError: no connection within ``timeout_s``. Unless other
+            instances don't reach the endpoint either, the error is not confirmed.
+        """
+        race = _Race()
+        ends_at = trio.current_time() + timeout_s
+        if self._fleet.paths.is_cut(address):
+            await self._connect_through_others(address, ends_at, race)
+            if race.connection is None:
+                await self._connect_directly(address, ends_at, race)
+        else:
+            await self._run_race(address, ends_at, race)
+        if race.connection is None:
+            raise self._error(address, race)
+        if race.relay is not None:
+            self._record_relayed(address, race)
+        return race.connection
+
+    async def run(self) -> None:
+        """Try cut paths again, a few at a time, until cancelled."""
+        while True:
+            await trio.sleep(PROBE_INTERVAL_S)
+            chosen = self._addresses_to_probe()
+            async with trio.open_nursery() as nursery:
+                for address in chosen:
+                    nursery.start_soon(self._probe, address)
+
+    def _addresses_to_probe(self) -> list[str]:
+        """Return some cut paths, and one of the others while none seems to be left."""
+        paths = self._fleet.paths
+        count = MAX_PROBES if paths.is_cut_off else MAX_RETURNING_PROBES
+        cut = paths.cut_addresses()
+        chosen = random.sample(cut, min(count, len(cut)))
+        if paths.is_cut_off:
+            listed = {entry.address for entry in self._fleet.endpoints.all()}
+            others = sorted(listed.difference(cut))
+            chosen += random.sample(others, min(1, len(others)))
+        return chosen
+
+    async def _probe(self, address: str) -> None:
+        if self._fleet.endpoints.at_address(address) is None:
+            self._fleet.paths.forget(address)
+            return
+        try:
+            sock = await connect(address, PROBE_TIMEOUT_S)
+        except NothingSentError:
+            return
+        sock.close()
+        self._record_reached(address)
+
+    async def _run_race(self, address: str, ends_at: float, race: _Race) -> None:
+        async with trio.open_nursery() as nursery:
+
+            async def connect_directly() -> None:
+                await self._connect_directly(address, ends_at, race)
+                if race.connection is not None:
+                    nursery.cancel_scope.cancel()
+
+            async def connect_through_others() -> None:
+                with trio.move_on_after(DIRECT_HEAD_START_S):
+                    await race.direct_failed.wait()
+                await self._connect_through_others(address, ends_at, race)
+                if race.connection is not None:
+                    nursery.cancel_scope.cancel()
+
+            nursery.start_soon(connect_directly)
+            nursery.start_soon(connect_through_others)
+
+    async def _connect_directly(
+        self, address: str, ends_at: float, race: _Race
+    ) -> None:
+        timeout_s = max(0.0, ends_at - trio.current_time())
+        try:
+            sock = await connect(address, timeout_s)
+        except NothingSentError as error:
+            race.direct_error = error
+            race.direct_failed.set()
+            self._record_failed(address)
+            return
+        if race.connection is not None:
+            sock.close()
+            return
+        race.connection, race.relay = sock, None
+        self._record_reached(address)
+
+    async def _connect_through_others(
+        self, address: str, ends_at: float, race: _Race
+    ) -> None:
+        now = trio.current_time()
+        if now < self._down_until_by_address.get(address, 0.0):
+            race.relay_error = race.direct_error
+            return
+        async with trio.open_nursery() as nursery:
+            for number, peer in enumerate(self._relays(now)):
+                delay_s = number * RELAY_STAGGER_S
+                nursery.start_soon(
+                    self._try_relay, peer, address, delay_s, ends_at, race, nursery
+                )
+
+    async def _try_relay(
+        self,
+        peer: Peer,
+        address: str,
+        delay_s: float,
+        ends_at: float,
+        race: _Race,
+        others: trio.Nursery,
+    ) -> None:
+        """Ask one instance, and cancel the requests to others once it is decided."""
+        await trio.sleep(delay_s)
+        timeout_s = min(RELAY_TIMEOUT_S, ends_at - trio.current_time())
+        if timeout_s <= 0:
+            return
+        try:
+            connection = await self._ask(peer, address, timeout_s)
+        except _RelayFailedError as error:
+            self._pause(peer, str(error))
+            return
+        except NothingSentError as error:
+            race.relay_error = error
+        else:
+            if race.connection is not None:
+                connection.close()
+                return
+            race.connection, race.relay = connection, peer
+            self._last_relay = peer.id
+        others.cancel_scope.cancel()
+
+    def _relays(self, now: float) -> list[Peer]:
+        """Return the instances to ask: the last one that could help, then others.
+
+        One of another data centre is among the first: all of this one's may be cut off.
+        """
+        peers = [
+            peer
+            for peer in self._peers.live()
+            if peer.control_address
+            and not (peer.leaving or peer.cut_off)
+            and self._paused_until_by_peer.get(peer.id, 0.0) <= now
+        ]
+        random.shuffle(peers)
+        near = [peer for peer in peers if peer.data_centre == self._data_centre]
+        far = [peer for peer in peers if peer.data_centre != self._data_centre]
+        ordered = [*near[:1], *far[:1], *near[1:], *far[1:]]
+        ordered.sort(key=lambda peer: peer.id != self._last_relay)
+        return ordered[:MAX_RELAYS]
+
+    async def _ask(self, peer: Peer, address: str, timeout_s: float) -> RelayedSocket:
+        """Ask an instance for a connection to an endpoint.
+
+        :raises NothingSentError: it doesn't reach the endpoint either.
+        :raises _RelayFailedError: it gave no answer, or doesn't relay at present.
+        """
+        with trio.move_on_after(timeout_s):
+            try:
+                sock = await connect(peer.control_address, timeout_s)
+            except NothingSentError as error:
+                raise _RelayFailedError(error.message) from error
+            try:
+                return await self._request(sock, peer, address)
+            except BaseException:
+                sock.close()
+                raise
+        raise _RelayFailedError(f'"{peer.id}" did not answer in {timeout_s:.2f} s')
+
+    async def _request(
+        self, sock: trio.socket.SocketType, peer: Peer, address: str
+    ) -> RelayedSocket:
+        http = h11.Connection(h11.CLIENT)
+        headers = [
+            (b"host", address.encode()),
+            (INSTANCE_HEADER, self._fleet.instance.encode()),
+            (INCARNATION_HEADER, b"%d" % self._peers.incarnation),
+        ]
+        request = h11.Request(method="CONNECT", target=address, headers=headers)
+        try:
+            await send_all(sock, http.send(request) + http.send(h11.EndOfMessage()))
+            response = await _receive_response(sock, http)
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise _RelayFailedError(f'"{peer.id}" broke off: {error}') from error
+        if response.status_code == STATUS_CONNECTED:
+            return RelayedSocket(sock, bytes(http.trailing_data[0]))
+        if response.status_code == STATUS_NOT_REACHED:
+            is_refused = dict(response.headers).get(OUTCOME_HEADER) == REFUSED
+            raise NothingSentError(
+                f'"{address}" is not reached by "{peer.id}" either',
+                connection_refused=is_refused,
+            )
+        raise _RelayFailedError(f'"{peer.id}" responded with {response.status_code}')
+
+    def _pause(self, peer: Peer, reason: str) -> None:
+        """Ask an instance that could not help no more for a while."""
+        self._paused_until_by_peer[peer.id] = trio.current_time() + RELAY_PAUSE_S
+        logger.info("paths: not relayed", extra={"peer": peer.id, "why": reason})
+
+    def _error(self, address: str, race: _Race) -> NothingSentError:
+        """Return the error of a connection that could not be established.
+
+        It says that the process of the endpoint has ended only if another instance
+        finds that too, or there is no other.
+        """
+        own_error = race.direct_error or race.relay_error
+        if race.relay_error is not None:
+            self._down_until_by_address[address] = trio.current_time() + DOWN_S
+            self._forget_old_downs()
+            is_refused = race.relay_error.connection_refused
+            message = f'"{address}" could not be reached, nor by another instance'
+            return NothingSentError(message, connection_refused=is_refused)
+        message = own_error.message if own_error else f'"{address}" was not reached'
+        is_alone = self._peers.count_live_instances() == 1
+        is_refused = own_error is not None and own_error.connection_refused
+        return NothingSentError(
+            message, connection_refused=is_refused and is_alone, is_confirmed=is_alone
+        )
+
+    def _forget_old_downs(self) -> None:
+        now = trio.current_time()
+        for address, until in list(self._down_until_by_address.items()):
+            if until <= now:
+                del self._down_until_by_address[address]
+
+    def _record_failed(self, address: str) -> None:
+        was_doubtful = self._fleet.paths.is_doubtful
+        self._fleet.paths.record_failed(address)
+        self._tell_if_changed(was_doubtful)
+
+    def _record_reached(self, address: str) -> None:
+        paths = self._fleet.paths
+        was_doubtful = paths.is_doubtful
+        if paths.record_reached(address, trio.current_time()):
+            logger.info("paths: reached directly again", extra={"address": address})
+        self._tell_if_changed(was_doubtful)
+
+    def _record_relayed(self, address: str, race: _Race) -> None:
+        """Record that an endpoint is reached through another instance only.
+
+        What this instance saw of its failures is not the endpoint's.
+        """
+        paths = self._fleet.paths
+        was_doubtful = paths.is_doubtful
+        paths.record_failed(address)
+        if paths.record_cut(address, trio.current_time()):
+            entry = self._fleet.endpoints.at_address(address)
+            if entry is not None:
+                self._fleet.health.forget(entry.id)
+            why = race.direct_error.message if race.direct_error else "no answer"
+            logger.warning(
+                "paths: endpoint not reached directly",
+                extra={
+                    "address": address,
+                    "endpoint": entry.id if entry else "",
+                    "peer": race.relay.id,
+                    "why": why,
+                },
+            )
+        self._tell_if_changed(was_doubtful)
+
+    def _tell_if_changed(self, was_doubtful: bool) -> None:
+        """Tell the others at once whether this instance can relay connections."""
+        paths = self._fleet.paths
+        if paths.is_doubtful == was_doubtful:
+            return
+        self._peers.cut_off = paths.is_doubtful
+        self._peers.broadcast_state()
+        cut = len(paths.cut_addresses())
+        since_ms = round((trio.current_time() - paths.cut_since) * 1000) if cut else 0
+        logger.warning(
+            "paths: cut off" if paths.is_doubtful else "paths: no longer cut off",
+            extra={"relayed_endpoints": cut, "since_ms": since_ms},
+        )
+
+
+async def _receive_response(
+    sock: trio.socket.SocketType, http: h11.Connection
+) -> h11.Response:
+    while True:
+        event: t.Any = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await sock.recv(RECEIVE_BYTES))
+        elif isinstance(event, h11.Response):
+            return event
+        else:
+            raise h11.RemoteProtocolError("no response")
--- a/src/foxtailsaddle/forward/_exchange.py
+++ b/src/foxtailsaddle/forward/_exchange.py
@@ -7,7 +7,7 @@
 
 from ..errors import ExchangeBrokenError, ResponseTooLargeError
 from ..ports import Headers, HttpReply
-from ._sockets import RECEIVE_BYTES, connect, send_all
+from ._sockets import RECEIVE_BYTES, Connect, Connection, connect, send_all
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_HEAD_BYTES = 65_536
@@ -26,7 +26,7 @@
 
     def __init__(
         self,
-        sock: trio.socket.SocketType,
+        sock: Connection,
         address: str,
         max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
@@ -45,10 +45,12 @@
         address: str,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         max_body_bytes: int = MAX_BODY_BYTES,
+        connect: Connect = connect,
     ) -> "Exchange":
         """Connect to ``host:port``.
 
         :param connect_timeout_s: longest time to connect, in seconds.
+        :param connect: opens the connection.
         :raises NothingSentError: the connection was not established.
         """
         sock = await connect(address, connect_timeout_s)
@@ -172,10 +174,17 @@
     """Sends requests to one address, one at a time, over a keep-alive connection.
 
     :param max_body_bytes: longest body of a response.
+    :param connect: opens the connection.
     """
 
-    def __init__(self, address: str, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+    def __init__(
+        self,
+        address: str,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        connect: Connect = connect,
+    ) -> None:
         self._address = address
+        self._connect = connect
         self._max_body_bytes = max_body_bytes
         self._exchange: Exchange | None = None
 
@@ -193,7 +202,9 @@
         exchange = self._take_idle()
         if exchange is None:
             exchange = await Exchange.open(
-                self._address, max_body_bytes=self._max_body_bytes
+                self._address,
+                max_body_bytes=self._max_body_bytes,
+                connect=self._connect,
             )
         try:
             with trio.move_on_after(timeout_s):
--- a/src/foxtailsaddle/forward/_fleet.py
+++ b/src/foxtailsaddle/forward/_fleet.py
@@ -14,6 +14,7 @@
     EndpointId,
     EndpointLimits,
     EndpointList,
+    EndpointPaths,
     EngineLoadTracker,
     InstanceId,
     Job,
@@ -29,6 +30,7 @@
     RouteTable,
     ServiceId,
 )
+from ._sockets import Connect, connect
 
 logger = logging.getLogger("foxtailsaddle.crashes")
 limits_logger = logging.getLogger("foxtailsaddle.limits")
@@ -94,6 +96,7 @@
     :ivar engine_loads: jobs of all instances, by engine.
     :ivar count_live_instances: returns the number of live instances.
     :ivar announces_calls: returns whether other instances are told of each plain call.
+    :ivar connect: opens connections to endpoints.
     :ivar notifier: sends updates to the other instances; set before the first job.
     """
 
@@ -113,6 +116,8 @@
         self.health = EndpointHealth()
         self.holds = EndpointHolds()
         self.endpoint_limits = EndpointLimits()
+        self.paths = EndpointPaths()
+        self.connect: Connect = connect
         self.crash_guard = CrashGuard(DEATH_MEMORY_S, MAX_DEATHS)
         self.part_guard = PromptPartGuard()
         self.retries = retries
@@ -164,18 +169,25 @@
         outcome: AttemptOutcome,
         now: float,
         is_announced: bool = True,
+        is_withheld: bool = False,
     ) -> None:
         """Record and send that a job of this instance has ended.
 
         Of a job that was not announced, only a failure is sent.
 
         :param endpoint: the endpoint that the outcome is counted for.
+        :param is_withheld: the outcome is not sent, since the path may be at fault.
         """
         self.apply_end(job, endpoint, outcome, now)
+        sent_outcome = AttemptOutcome.NEUTRAL if is_withheld else outcome
         if is_announced:
-            self.notifier.notify_ended(job, endpoint, outcome)
-        elif outcome in (AttemptOutcome.FAILED, AttemptOutcome.UNREACHABLE):
-            self.notifier.notify_ended(NO_JOB, endpoint, outcome)
+            self.notifier.notify_ended(job, endpoint, sent_outcome)
+        elif sent_outcome in (AttemptOutcome.FAILED, AttemptOutcome.UNREACHABLE):
+            self.notifier.notify_ended(NO_JOB, endpoint, sent_outcome)
+
+    def send_outcome(self, endpoint: EndpointId, outcome: AttemptOutcome) -> None:
+        """Send an outcome that was withheld."""
+        self.notifier.notify_ended(NO_JOB, endpoint, outcome)
 
     def apply_end(
         self,
@@ -193,10 +205,22 @@
     def record_outcome(
         self, endpoint: EndpointId, outcome: AttemptOutcome, now: float
     ) -> None:
-        """Record and send an outcome that this instance saw without running a job."""
+        """Record and send an outcome that this instance saw without running a job.
+
+        It is not sent while the path to the endpoint may be at fault.
+        """
         self.health.record_outcome(endpoint, outcome, now)
+        if outcome is AttemptOutcome.SILENT and not self.is_own_view_sound(
+            endpoint, now
+        ):
+            return
         self.notifier.notify_ended(NO_JOB, endpoint, outcome)
 
+    def is_own_view_sound(self, endpoint: EndpointId, now: float) -> bool:
+        """Return whether a failure that this instance sees is the endpoint's own."""
+        entry = self.endpoints.get(endpoint)
+        return entry is not None and self.paths.is_own_view_sound(entry.address, now)
+
     def record_slowdown(
         self, endpoint: EndpointId, slowdown: float, now: float
     ) -> None:
--- a/src/foxtailsaddle/forward/_peers.py
+++ b/src/foxtailsaddle/forward/_peers.py
@@ -11,6 +11,7 @@
 
 from ..core import (
     AttemptOutcome,
+    DataCentre,
     EndpointDeath,
     EndpointId,
     InstanceId,
@@ -57,6 +58,7 @@
 RECEIVE_PAUSE_S = 0.02  # between two batches
 INCARNATION_BITS = 63
 NO_INSTANCE = InstanceId("")
+NO_DATA_CENTRE = DataCentre("")
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,6 +74,7 @@
     :param configuration_version: version that it has in force.
     :param reads_store: it follows the store and sends its changes.
     :param list_version: version of the last change of the list that it has.
+    :param cut_off: it reaches no endpoint itself.
     :param added_at: when this instance learnt of it.
     """
 
@@ -86,6 +89,8 @@
     reads_store: bool = False
     list_version: StoreVersion = NO_VERSION
     added_at: float = 0.0
+    cut_off: bool = False
+    data_centre: DataCentre = NO_DATA_CENTRE
 
 
 class Peers:
@@ -94,6 +99,9 @@
     :param control_address: this instance's address for snapshots.
     :param host: this instance's address for datagrams.
     :param port: UDP port for datagrams, the same on all instances.
+    :param data_centre: of this instance.
+    :ivar incarnation: number of this process.
+    :ivar cut_off: this instance reaches no endpoint itself.
     :ivar dropped_updates: updates that were not sent, since too many were waiting.
     :ivar updates: applies what peers send.
     :ivar on_datagram_received: called with the sender of each datagram, before the
@@ -103,12 +111,18 @@
     """
 
     def __init__(
-        self, fleet: FleetState, control_address: str, host: str, port: int
+        self,
+        fleet: FleetState,
+        control_address: str,
+        host: str,
+        port: int,
+        data_centre: DataCentre = NO_DATA_CENTRE,
     ) -> None:
         self._fleet = fleet
         self._control_address = control_address
         self._address = (host, port)
-        self._incarnation = secrets.randbits(INCARNATION_BITS)
+        self._data_centre = data_centre
+        self.incarnation = secrets.randbits(INCARNATION_BITS)
         self._peer_by_id: dict[InstanceId, Peer] = {}
         self._seed_addresses: set[tuple[str, int]] = set()
         self._pending: collections.deque[Update] = collections.deque()
@@ -119,6 +133,7 @@
         self._forgotten = 0
         self.dropped_updates = 0
         self.leaving = False
+        self.cut_off = False
         self.reads_store = False
         self.list_version = NO_VERSION
         self.updates = PeerUpdates(fleet)
@@ -139,6 +154,15 @@
             if peer.last_heard_at and now - peer.last_heard_at <= self._peer_timeout_s
         ]
 
+    def is_process(self, instance: InstanceId, incarnation: str) -> bool:
+        """Return whether another instance's present process has this number."""
+        peer = self._peer_by_id.get(instance)
+        return (
+            peer is not None
+            and bool(peer.incarnation)
+            and incarnation == str(peer.incarnation)
+        )
+
     def store_readers(self) -> list[Peer]:
         """Return the other instances that follow the store at present."""
         now = trio.current_time()
@@ -377,13 +401,15 @@
         table = self._fleet.route_table
         return DatagramHeader(
             sender=self._fleet.instance,
-            incarnation=self._incarnation,
+            incarnation=self.incarnation,
             control_address=self._control_address,
             configuration_version=table.version if table else 0,
             leaving=self.leaving,
             reads_store=self.reads_store,
             list_version=self.list_version,
             wants_reply=wants_reply,
+            cut_off=self.cut_off,
+            data_centre=self._data_centre,
         )
 
     async def _receive(self) -> None:
@@ -431,6 +457,8 @@
         peer.leaving = header.leaving
         peer.reads_store = header.reads_store
         peer.list_version = header.list_version
+        peer.cut_off = header.cut_off
+        peer.data_centre = header.data_centre
         self.on_datagram_received(peer)
         if is_new:
             logger.info("peers: heard", extra={"peer": peer.id})
--- a/src/foxtailsaddle/forward/_plain.py
+++ b/src/foxtailsaddle/forward/_plain.py
@@ -226,6 +226,9 @@
                     nursery.cancel_scope.cancel()
                 return reply
             attempt.outcome = AttemptOutcome.FAILED
+            attempt.is_withheld = not self._fleet.is_own_view_sound(
+                entry.id, trio.current_time()
+            )
             waited_s = trio.current_time() - began_at
             raise EndpointSilentError(
                 f'"{entry.id}" did not answer in {waited_s:.2f} s'
--- a/src/foxtailsaddle/forward/_reports.py
+++ b/src/foxtailsaddle/forward/_reports.py
@@ -84,7 +84,7 @@
             report = await self._engine_control.report(entry.address)
         except FoxtailsaddleError as error:
             now = trio.current_time()
-            if isinstance(error, NothingSentError):
+            if isinstance(error, NothingSentError) and error.is_confirmed:
                 self._fleet.record_outcome(entry.id, AttemptOutcome.UNREACHABLE, now)
             logger.info(
                 "reports: none", extra={"endpoint": entry.id, "why": error.message}
--- a/src/foxtailsaddle/forward/_sockets.py
+++ b/src/foxtailsaddle/forward/_sockets.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import typing as t
 
 import trio
 
@@ -17,6 +18,34 @@
 MAX_DISCARDED_BYTES = 8_388_608
 
 
+class Connection(t.Protocol):
+    """A connection to a server, which may go through another instance."""
+
+    async def send(self, data: bytes | memoryview) -> int:
+        """Send some of the bytes, and return how many."""
+
+    async def recv(self, max_bytes: int) -> bytes:
+        """Return the next bytes, none at the orderly end.
+
+        :raises OSError: the connection broke.
+        """
+
+    def is_readable(self) -> bool:
+        """Return whether bytes or an end have arrived."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class Connect(t.Protocol):
+    """Opens a connection to ``host:port`` within a time in seconds.
+
+    :raises NothingSentError: there is none.
+    """
+
+    async def __call__(self, address: str, timeout_s: float) -> Connection: ...
+
+
 def set_tcp_options(sock: trio.socket.SocketType) -> None:
     """Disable Nagle's algorithm, and close a connection whose peer is unresponsive."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -70,7 +99,7 @@
     return sock
 
 
-async def send_all(sock: trio.socket.SocketType, data: bytes) -> None:
+async def send_all(sock: Connection, data: bytes) -> None:
     """Send all of ``data``."""
     view = memoryview(data)
     while view:
--- a/src/foxtailsaddle/forward/notes.capnp
+++ b/src/foxtailsaddle/forward/notes.capnp
@@ -13,6 +13,8 @@
   reads @6 :Bool;
   listVersion @7 :UInt64;
   listEra @8 :UInt32;
+  cutOff @9 :Bool;
+  dataCentre @10 :Text;
 }
 
 struct Body {
--- a/src/foxtailsaddle/platform/_orders.py
+++ b/src/foxtailsaddle/platform/_orders.py
@@ -5,7 +5,7 @@
 
 from ..core import EndpointNotice
 from ..errors import ExchangeBrokenError
-from ..ports import EngineReport, HttpReply, PersistentHttpClient
+from ..ports import EngineReport, HttpClientFactory, HttpReply
 from . import _names as names
 from ._headers import read_notice
 
@@ -19,13 +19,13 @@
 
     Each call uses a connection of its own.
 
-    :param client_for: returns an HTTP client for an address, ``host:port``.
+    :ivar client_for: returns an HTTP client for an address, ``host:port``.
     :ivar on_notice: called with the address of an engine and what it says of itself
         beside any of its responses.
     """
 
-    def __init__(self, client_for: "HttpClientFactory") -> None:
-        self._client_for = client_for
+    def __init__(self, client_for: HttpClientFactory) -> None:
+        self.client_for = client_for
         self.on_notice: t.Callable[[str, EndpointNotice], None] = lambda *_: None
 
     async def reserve(self, address: str, id: str, tokens: int, hold_s: float) -> bool:
@@ -71,7 +71,7 @@
         body: bytes | None,
         timeout_s: float,
     ) -> HttpReply:
-        client = self._client_for(address)
+        client = self.client_for(address)
         try:
             reply = await client.call(method, target, body, timeout_s)
         finally:
@@ -80,12 +80,6 @@
         return reply
 
 
-class HttpClientFactory(t.Protocol):
-    """Returns an HTTP client for an address, ``host:port``."""
-
-    def __call__(self, address: str) -> PersistentHttpClient: ...
-
-
 def _decode_report(fields: dict[str, t.Any]) -> EngineReport:
     return EngineReport(
         slowdown=float(fields.get("pace", 1.0)),
--- a/src/foxtailsaddle/ports/__init__.py
+++ b/src/foxtailsaddle/ports/__init__.py
@@ -12,6 +12,7 @@
     "CallerRequest": "._front",
     "Clock": "._time",
     "EngineControl": "._front",
+    "HttpClientFactory": "._front",
     "Dispatch": "._front",
     "EngineReport": "._front",
     "Ended": "._peers",
--- a/src/foxtailsaddle/ports/_front.py
+++ b/src/foxtailsaddle/ports/_front.py
@@ -231,13 +231,21 @@
     kv_used_tokens: int
 
 
+class HttpClientFactory(t.Protocol):
+    """Returns an HTTP client for an address, ``host:port``."""
+
+    def __call__(self, address: str) -> PersistentHttpClient: ...
+
+
 class EngineControl(t.Protocol):
     """Reserves memory at model engines and reads their load reports.
 
+    :ivar client_for: returns an HTTP client for an address, ``host:port``.
     :ivar on_notice: called with the address of an engine and what it says of itself
         beside any of its responses.
     """
 
+    client_for: HttpClientFactory
     on_notice: t.Callable[[str, EndpointNotice], None]
 
     async def report(self, address: str) -> EngineReport:
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -3,8 +3,12 @@
 import pytest
 import trio
 
+from foxtailsaddle.forward._fleet import fingerprint
 from standins.cuts import CutKind
-from tests.loopback_world import in_world
+from standins.front_world import ACCOUNT
+from standins.runner import Fault
+from tests.log_records import recorded_logs
+from tests.loopback_world import eventually, in_world
 
 DETECTED_S = 3.0  # after the cut, from which the instance serves as others do
 SERVED_SHARE = 2 / 3  # of what the others serve
@@ -94,3 +98,231 @@
             health = app.fleet.health
             now = trio.current_time()
             assert not any(health.is_failing(id, now) for id in world.runners)
+
+    # Guards against a crash that nobody sees any more.
+    @in_world(engines=0, plain=3, instances=3)
+    async def test_a_real_crash_is_still_evidence(self, world):
+        app = world.apps[0]
+        world.runners["p0"].fault = Fault.DIE
+        assert (await world.ask(app, "/unsafe/x")).status == 502
+        digest = fingerprint(ACCOUNT, "/unsafe/x", b"")
+        await eventually(
+            lambda: app.fleet.crash_guard.deaths(digest, trio.current_time()) == 1
+        )
+
+    # Guards against crash evidence where no instance can say better.
+    @in_world(engines=4, plain=0, instances=2)
+    async def test_no_crash_is_reported_while_all_instances_are_cut_off(self, world):
+        for runner in world.runners.values():
+            runner.events, runner.gap_s = 40, 0.02
+        async with trio.open_nursery() as nursery:
+            for number in range(8):
+                app = world.apps[number % 2]
+                nursery.start_soon(
+                    lambda app=app: world.ask(app, "/stream/x", parts=("abc1", "def2"))
+                )
+            await trio.sleep(0.3)
+            with recorded_logs() as logs:
+                for app in world.apps:
+                    world.cut_off(app, CutKind.RESET)
+                await trio.sleep(1.5)
+                assert not logs.with_message("crashes: endpoint crashed")
+                for app in world.apps:
+                    world.heal(app)
+
+
+class TestRelayedConnections:
+    """What goes through another instance keeps all promises of a direct connection."""
+
+    @in_world(engines=3, plain=0, instances=3)
+    async def test_a_stream_goes_on_after_its_last_whole_event(self, world):
+        for runner in world.runners.values():
+            runner.events, runner.gap_s = 30, 0.03
+        replies = []
+
+        async def ask():
+            replies.append(await world.ask(world.apps[0], "/stream/x"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.4)
+            world.cut_off(world.apps[0], CutKind.RESET)
+        (reply,) = replies
+        assert reply.status == 200 and not reply.is_truncated
+        ids = [line for line in reply.body.split(b"\n") if line.startswith(b"id:")]
+        assert ids == [b"id: %d" % number for number in range(1, 31)]
+
+    # Guards against a second run of a call that may have run.
+    @in_world(engines=0, plain=3, instances=3)
+    async def test_a_call_that_may_have_run_is_not_sent_again(self, world):
+        for runner in world.runners.values():
+            runner.work_s = 0.4
+        replies = []
+
+        async def ask():
+            replies.append(await world.ask(world.apps[0], "/unsafe/x"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.2)
+            world.cut_off(world.apps[0], CutKind.RESET)
+        assert replies[0].status == 502
+        assert sum(len(runner.runs) for runner in world.runners.values()) == 1
+
+    # Guards against an answer that ends with its relay and looks complete.
+    @in_world(engines=0, plain=2, instances=2)
+    async def test_an_answer_that_ends_with_its_relay_is_not_complete(self, world):
+        app, relay = world.apps
+        world.cut_off(app, CutKind.RESET)
+        assert await served(world, app, "/safe/x", 4) == 4
+        for runner in world.runners.values():
+            runner.fault, runner.work_s = Fault.UNFRAMED, 0.4
+        replies = []
+
+        async def ask():
+            replies.append(await world.ask(app, "/unsafe/x"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.2)
+            world.kill(relay)
+        assert replies[0].status == 502
+
+    @pytest.mark.parametrize(
+        "fault", [Fault.UNFRAMED, Fault.CUT, Fault.TRUNCATE, Fault.RESET, Fault.GARBAGE]
+    )
+    def test_the_end_of_an_answer_is_the_same_as_without_a_relay(self, fault):
+        @in_world(engines=0, plain=2, instances=2)
+        async def case(_, world):
+            for runner in world.runners.values():
+                runner.fault = fault
+            direct = await world.ask(world.apps[1], "/unsafe/x")
+            world.cut_off(world.apps[0], CutKind.RESET)
+            relayed = await world.ask(world.apps[0], "/unsafe/x")
+            assert relayed.status == direct.status
+
+        case(self)
+
+    @in_world(engines=0, plain=2, instances=2)
+    async def test_a_client_that_leaves_ends_the_run_behind_the_relay(self, world):
+        world.cut_off(world.apps[0], CutKind.RESET)
+        assert await served(world, world.apps[0], "/safe/x", 4) == 4
+        for runner in world.runners.values():
+            runner.work_s = 3.0
+            runner.runs.clear()
+        with trio.move_on_after(0.3):
+            await world.ask(world.apps[0], "/safe/x")
+        await eventually(
+            lambda: (
+                [run.cancelled for r in world.runners.values() for run in r.runs]
+                == [True]
+            ),
+            0.5,
+        )
+
+    @in_world(engines=0, plain=2, instances=2)
+    async def test_an_instance_that_relays_finishes_before_it_stops(self, world):
+        app, relay = world.apps
+        world.cut_off(app, CutKind.RESET)
+        assert await served(world, app, "/safe/x", 4) == 4
+        for runner in world.runners.values():
+            runner.work_s = 3.2
+        async with trio.open_nursery() as nursery:
+            replies = []
+
+            async def ask():
+                headers = {"X-Deadline-Ms": "4000"}
+                replies.append(await world.ask(app, "/unsafe/x", headers=headers))
+
+            nursery.start_soon(ask)
+            await trio.sleep(0.2)
+            relay.drain()
+        assert replies[0].status == 200
+
+    @in_world(engines=0, plain=3, instances=3)
+    async def test_only_some_endpoints_are_out_of_reach(self, world):
+        app = world.apps[0]
+        cut = [world.runners["p0"], world.runners["p1"]]
+        world.cut_off(app, CutKind.HANG, cut)
+        assert await served(world, app, "/safe/x", 20) == 20
+        await eventually(lambda: not app.fleet.paths.is_cut_off)
+
+    @in_world(random_ties=True, engines=0, plain=3, instances=3)
+    async def test_direct_paths_are_used_again(self, world):
+        app = world.apps[0]
+        world.cut_off(app, CutKind.RESET)
+        assert await served(world, app, "/safe/x", 9) == 9
+        assert app.fleet.paths.is_cut_off
+        await eventually(
+            lambda: any(peer.cut_off for peer in world.apps[1].peers.live())
+        )
+        world.heal(app)
+        await eventually(lambda: not app.fleet.paths.cut_addresses())
+        await eventually(
+            lambda: not any(peer.cut_off for peer in world.apps[1].peers.live())
+        )
+
+    # Guards against a cut that is seen where all endpoints of a service have crashed.
+    @in_world(engines=2, plain=2, instances=3)
+    async def test_a_crash_of_all_endpoints_of_a_service_is_no_cut(self, world):
+        for id in ("p0", "p1"):
+            world.runners[id].crash()
+        for app in world.apps:
+            assert await served(world, app, "/safe/x", 4) == 0
+            assert not app.fleet.paths.is_cut_off
+            assert await served(world, app, "/stream/x", 4) == 4
+
+    # Guards against a cut that is seen in a silence of a second.
+    @in_world(engines=2, plain=2, instances=2)
+    async def test_a_silence_of_a_second_is_no_cut(self, world):
+        for runner in world.runners.values():
+            runner.server.fall_silent(1.2)
+        for path in ("/safe/x", "/stream/x"):
+            assert (await world.ask(world.apps[0], path)).status == 200
+        assert not world.apps[0].fleet.paths.is_cut_off
+
+
+class TestWhoMayUseARelay:
+    """Only instances of the fleet are relayed, and only to listed endpoints."""
+
+    async def connect(self, world, target, instance, incarnation):
+        host, _, port = world.apps[1].env.settings.control.rpartition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        async with stream:
+            await stream.send_all(
+                f"CONNECT {target} HTTP/1.1\r\nHost: {target}\r\n"
+                f"X-Instance: {instance}\r\nX-Incarnation: {incarnation}\r\n\r\n"
+                "".encode()
+            )
+            return int((await stream.receive_some(1000)).split()[1])
+
+    @in_world(engines=0, plain=1, instances=2)
+    async def test_a_known_instance_reaches_a_listed_endpoint(self, world):
+        asking = world.apps[0].peers.incarnation
+        address = world.runners["p0"].server.address
+        assert await self.connect(world, address, "i1", asking) == 200
+
+    @in_world(engines=0, plain=1, instances=2)
+    async def test_others_are_refused(self, world):
+        asking = world.apps[0].peers.incarnation
+        address = world.runners["p0"].server.address
+        for instance, incarnation in (("i1", 0), ("i1", asking + 1), ("i9", asking)):
+            status = await self.connect(world, address, instance, incarnation)
+            assert status == 403
+
+    @in_world(engines=0, plain=1, instances=2)
+    async def test_other_targets_are_refused(self, world):
+        asking = world.apps[0].peers.incarnation
+        control = world.apps[1].env.settings.control
+        for target in (world.store.address, control, "127.0.0.1:1"):
+            assert await self.connect(world, target, "i1", asking) == 403
+
+    # Guards against connections that go from one instance to the next.
+    @in_world(engines=0, plain=2, instances=3)
+    async def test_a_cut_off_instance_relays_nothing(self, world):
+        for app in world.apps[:2]:
+            world.cut_off(app, CutKind.RESET)
+            assert await served(world, app, "/safe/x", 4) == 4
+        asking = world.apps[0].peers.incarnation
+        address = world.runners["p0"].server.address
+        assert await self.connect(world, address, "i1", asking) == 503
