--- a/src/foxtailsaddle/forward/_stream_placer.py
+++ b/src/foxtailsaddle/forward/_stream_placer.py
@@ -1,5 +1,6 @@
 """Chooses the engines for a stream from this instance's view of their load."""
 
+import math
 import typing as t
 
 import trio
@@ -74,8 +75,8 @@
         demand: PromptDemand,
         tried: t.Collection[EndpointId],
         full: t.Collection[EndpointId],
-        max_limit_wait_s: float,
         now: float,
+        max_limit_wait_s: float = math.inf,
     ) -> StreamPlan | None:
         """Return the engines for the prefill and the decoding of a prompt.
 
--- a/src/foxtailsaddle/forward/_streams.py
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -194,8 +194,8 @@
             demand,
             [*context.tried_endpoints, *excluded],
             context.full_endpoints,
-            max_limit_wait_s(context, now),
             now,
+            max_limit_wait_s(context, now),
         )
 
     def _new_job(
