A client that reads slowly is not reset while its receive window is full

A client that read nothing for 3 s lost the rest of its answer. Client connections have keep-alive probes only; a request's deadline still ends them. test_a_client_that_pauses_gets_the_whole_answer: with the former options the sender got ETIMEDOUT; it passes now.

--- a/src/foxtailsaddle/forward/_connection.py
+++ b/src/foxtailsaddle/forward/_connection.py
@@ -34,7 +34,7 @@
     discard_until_closed,
     reset_on_close,
     send_all,
-    set_tcp_options,
+    set_client_tcp_options,
 )
 
 logger = logging.getLogger("foxtailsaddle.request")
@@ -117,7 +117,7 @@
     async def serve(self) -> None:
         """Serve requests until the connection ends."""
         try:
-            set_tcp_options(self._sock)
+            set_client_tcp_options(self._sock)
             while await self._serve_one():
                 self._http.start_next_cycle()
             if self._is_answered:
--- a/tests/test_tcp_options.py
+++ b/tests/test_tcp_options.py
@@ -32,3 +32,30 @@
         assert (probes - 1) * interval_s >= SILENCE_S
         assert user_timeout_s >= idle_s + probes * interval_s
         sock.close()
+
+
+class TestSlowReaders:
+    # Guards against resetting a client that doesn't read for some seconds.
+    def test_a_client_that_pauses_gets_the_whole_answer(self):
+        trio.run(self.read_slowly)
+
+    async def read_slowly(self):
+        listener = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        async with trio.open_nursery() as nursery:
+
+            async def send():
+                sock, _ = await listener[0].socket.accept()
+                _sockets.set_client_tcp_options(sock)
+                await _sockets.send_all(sock, bytes(BODY_BYTES))
+                sock.close()
+
+            nursery.start_soon(send)
+            client = trio.socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            await client.connect(listener[0].socket.getsockname())
+            await trio.sleep(READER_PAUSE_S)
+            received = 0
+            while data := await client.recv(1 << 20):
+                received += len(data)
+            client.close()
+        assert received == BODY_BYTES
