Soak: runners that name limits, instances that are cut off from all runners

A runner names a limit of 0.5 to 4 requests a second for some seconds; an instance loses its connections to all runners, in four ways. Checks: the bound of a limit in any 4 s, and two thirds of what the others serve, from 3 s after a cut. Instances of the soak run in a stand-in process whose sockets can be cut; a cut excuses nothing. Both checks have tests that find a violation.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -105,6 +105,7 @@
             self._limits,
             self._only_silences,
             self._injector.unframed_runners,
+            self._injector.cuts,
         )
 
 
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -14,6 +14,15 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Cut:
+    """A time for which an instance reached no runner."""
+
+    instance: str
+    since: float
+    until: float
+
+
 class Disruptions:
     """All disruptions of a run.
 
--- a/soak/endpoint_promises.py
+++ b/soak/endpoint_promises.py
@@ -5,7 +5,9 @@
 from standins.runner import RunnerEvent
 
 from .callers import RequestRecord
+from .cut_promises import unserved_cuts
 from .disruptions import STORE
+from .named_limits import exceeded_limits
 from .promises import Evidence
 from .runner_events import RunnerEventRecord
 
@@ -27,6 +29,8 @@
         *_requests_in_pauses(evidence, by_id),
         *_requests_that_crash(evidence, by_id),
         *_refused_healthy_requests(evidence),
+        *exceeded_limits(evidence, by_id),
+        *unserved_cuts(evidence),
     ]
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,6 +18,7 @@
 import trio
 
 from foxtailsaddle.forward import KeepAliveHttpClient
+from standins.cuts import write_cut
 from standins.front_world import configuration
 
 from .proxy import Link
@@ -214,6 +215,18 @@
         """Return the name of the link to the present process of a runner."""
         return f"link {self._runner_id_by_name[name]}"
 
+    def cut_off(self, name: str, kind: str) -> None:
+        """Cut an instance off from all runners."""
+        addresses = [self.links[runner].address for runner in self.runner_services]
+        write_cut(self._cut_file(name), kind, addresses)
+
+    def heal(self, name: str) -> None:
+        """Let an instance reach the runners again."""
+        write_cut(self._cut_file(name), "", [])
+
+    def _cut_file(self, name: str) -> pathlib.Path:
+        return self._folder / f"{name}.cut"
+
     async def drop_row(self, runner_id: str) -> None:
         """Delete the row of a runner that has ended."""
         await self.control_store("/drop", table="servers", key=runner_id)
@@ -269,8 +282,8 @@
                 store=self.links["store"].address,
             )
         )
-        command = [sys.executable, "-m", "foxtailsaddle", "serve-platform"]
-        command.append(f"--config={settings}")
+        command = [sys.executable, "-m", "standins.instance_process"]
+        command += [f"--config={settings}", f"--control={self._cut_file(name)}"]
         self._launch(Process(name, command, self._folder / f"{name}.log"))
 
     def _start_standin(self, name: str, kind: str, *options: str) -> None:
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -9,8 +9,9 @@
 import trio
 
 from foxtailsaddle.errors import FoxtailsaddleError
+from standins.cuts import CutKind
 
-from .disruptions import STORE, Disruptions
+from .disruptions import STORE, Cut, Disruptions
 from .fleet import Process, SoakFleet
 from .limits import LimitHistory
 from .proxy import LinkFault
@@ -49,6 +50,7 @@
     :param kinds: names of the kinds of fault to choose from; empty for all.
     :ivar faults: descriptions of the injected faults, with their times.
     :ivar sends_crashing: whether callers send prompts that crash runners.
+    :ivar cuts: times for which instances reached no runner.
     :ivar unframed_runners: names of runners whose streams ended with their connection.
     """
 
@@ -67,6 +69,7 @@
         self.faults: list[str] = []
         self.sends_crashing = False
         self.unframed_runners: set[str] = set()
+        self.cuts: list[Cut] = []
         inject_by_kind: dict[str, t.Callable[[], t.Awaitable[None]]] = {
             "kill": self._kill,
             "pause": self._pause,
@@ -84,6 +87,8 @@
             "rest": self._let_runner_rest,
             "framing": self._change_framing,
             "crash": self._send_crashing,
+            "limit": self._limit_runner,
+            "cut": self._cut_off,
         }
         self._injections = [inject_by_kind[kind] for kind in kinds or inject_by_kind]
 
@@ -276,6 +281,26 @@
         with _ended_runner():
             await self._fleet.set_runner_knobs(name, framing=framing)
 
+    async def _limit_runner(self) -> None:
+        """Let a runner name a limit for all instances together, and change it once."""
+        name = self._pick_runner()
+        for per_s in (self._rng.choice(("0.5", "1", "2", "4")), ""):
+            self._record_fault(f"runner {name}: limit {per_s or 'ended'}")
+            with _ended_runner():
+                await self._fleet.set_runner_knobs(name, limit_per_s=per_s)
+            await trio.sleep(self._rng.uniform(5.0, 9.0) if per_s else 0.0)
+
+    async def _cut_off(self) -> None:
+        """Cut an instance off from all runners, while all else reaches it."""
+        name, _ = self._pick_instance()
+        kind = self._rng.choice(list(CutKind))
+        self._record_fault(f"{name} is cut off from runners: {kind.value}")
+        since = time.monotonic()
+        self._fleet.cut_off(name, kind.value)
+        await trio.sleep(self._rng.uniform(4.0, 9.0))
+        self.cuts.append(Cut(name, since, time.monotonic()))
+        self._fleet.heal(name)
+
     async def _send_crashing(self) -> None:
         if not self.sends_crashing:
             self._record_fault("some prompts crash runners from now on")
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,7 +7,7 @@
 from standins.runner import RunnerEvent
 
 from .callers import DEADLINE_S, STREAM_EVENTS, RequestRecord
-from .disruptions import Disruptions
+from .disruptions import Cut, Disruptions
 from .limits import LimitHistory
 from .runner_events import RunnerEventRecord
 
@@ -26,6 +26,7 @@
     :param disruptions: of instances, which may then answer late or not at all.
     :param only_silences: runners were silent at times, and had no other fault.
     :param unframed_runners: names of runners whose streams ended with their connection.
+    :param cuts: times for which instances reached no runner.
     """
 
     history: list[RequestRecord]
@@ -35,6 +36,7 @@
     limits: LimitHistory
     only_silences: bool = False
     unframed_runners: t.Collection[str] = ()
+    cuts: t.Sequence[Cut] = ()
 
     def is_excused(self, record: RequestRecord) -> bool:
         """Return whether the instance was disrupted during a request."""
--- a/soak/runner_events.py
+++ b/soak/runner_events.py
@@ -15,6 +15,7 @@
     :param request: id of the request.
     :param at: monotonic time, in seconds.
     :param pause_s: seconds for which the runner asks to be left alone.
+    :param per_s: requests per second that it takes; 0 without a limit.
     """
 
     event: RunnerEvent
@@ -22,6 +23,7 @@
     request: str
     at: float
     pause_s: float = 0.0
+    per_s: float = 0.0
 
 
 def read_events(log: pathlib.Path) -> list[RunnerEventRecord]:
--- a/standins/cuts.py
+++ b/standins/cuts.py
@@ -7,12 +7,15 @@
 
 import contextlib
 import contextvars
+import json
+import pathlib
 import typing as t
 from enum import Enum
 from unittest import mock
 
 import trio
 
+POLL_S = 0.02
 _SocketType = trio.socket.SocketType.__subclasses__()[0]
 
 
@@ -34,8 +37,6 @@
     def __init__(self) -> None:
         self.addresses: set[tuple[str, int]] = set()
         self._kind: CutKind | None = None
-        self._healed = trio.Event()
-        self._healed.set()
         self._open: set[t.Any] = set()
         self._reset: set[t.Any] = set()
 
@@ -44,7 +45,6 @@
         self.heal()
         self.addresses = set(addresses)
         self._kind = kind
-        self._healed = trio.Event()
         if kind is not CutKind.RESET:
             return
         for sock in [sock for sock in self._open if sock.fileno() >= 0]:
@@ -56,7 +56,6 @@
         """End the cut; connections that hung go on."""
         self.addresses = set()
         self._kind = None
-        self._healed.set()
 
     async def connect(self, sock: t.Any, address: t.Any, original: t.Any) -> None:
         """Connect a socket, unless the cut keeps it from that."""
@@ -83,7 +82,12 @@
         if sock in self._reset:
             raise ConnectionResetError("connection reset by a cut")
         if self._kind is CutKind.HANG and _peer(sock) in self.addresses:
-            await self._healed.wait()
+            await self._wait_until_healed()
+
+    async def _wait_until_healed(self) -> None:
+        # A cut may be begun and healed by another thread.
+        while self._kind is CutKind.HANG:
+            await trio.sleep(POLL_S)
 
 
 def _peer(sock: t.Any) -> t.Any:
@@ -129,3 +133,11 @@
         mock.patch.object(_SocketType, "send", cut_send),
     ):
         yield
+
+
+def write_cut(control: pathlib.Path, kind: str, addresses: t.Iterable[str]) -> None:
+    """Tell the process of an instance to cut itself off; no addresses end the cut."""
+    content = json.dumps({"kind": kind, "addresses": list(addresses)})
+    part = control.with_suffix(".part")
+    part.write_text(content)
+    part.rename(control)
--- a/standins/front_process.py
+++ b/standins/front_process.py
@@ -74,6 +74,7 @@
         framing: str | None = None,
         retry_after: str | None = None,
         is_refusing: bool | None = None,
+        limit_per_s: str | None = None,
     ) -> None:
         runner = self.runner
         if events is not None:
@@ -86,6 +87,10 @@
             runner.retry_after = retry_after
         if is_refusing is not None:
             runner.fault = Fault.REFUSE if is_refusing else Fault.NONE
+        if limit_per_s is not None:
+            runner.limit_per_s = limit_per_s
+            if not limit_per_s:
+                self._print_event(RunnerEvent.LIMIT_ENDED, "")
 
     def _print_event(self, event: RunnerEvent, request_id: str) -> None:
         line = {
@@ -94,6 +99,7 @@
             "request": request_id,
             "at": time.monotonic(),
             "pause_s": float(self.runner.retry_after or 0),
+            "per_s": float(self.runner.limit_per_s or 0),
         }
         print(json.dumps(line), flush=True)
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -67,6 +67,8 @@
     SAID_LEAVING = "said_leaving"
     ASKED_FOR_PAUSE = "asked_for_pause"
     CRASHED = "crashed"
+    NAMED_LIMIT = "named_limit"
+    LIMIT_ENDED = "limit_ended"  # concerns no request
 
 
 class Framing(Enum):
@@ -427,6 +429,8 @@
         ]
         if self.is_leaving:
             self.observe(RunnerEvent.SAID_LEAVING, id)
+        if self.limit_per_s:
+            self.observe(RunnerEvent.NAMED_LIMIT, id)
         own_headers = self._own_headers(status)
         lines += [f"{name}: {value}" for name, value in own_headers.items()]
         return "\r\n".join(lines).encode() + b"\r\n"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,12 @@
 """Tests for the checks of the soak test, and one short soak run with a seed."""
 
+import dataclasses
 import random
 import subprocess
 import sys
 
 from soak.callers import STREAM_EVENTS, RequestRecord
-from soak.disruptions import Disruptions
+from soak.disruptions import Cut, Disruptions
 from soak.endpoint_promises import broken_endpoint_promises
 from soak.limits import LimitHistory
 from soak.promises import Evidence, broken_promises
@@ -175,6 +176,34 @@
         assert endpoint_violations(before + after, crashes)
         assert endpoint_violations(before + after[:10], crashes) == []
 
+    def test_requests_beyond_a_named_limit_are_found(self):
+        history = [make_request(id=str(number)) for number in range(40)]
+        named = event("0", RunnerEvent.NAMED_LIMIT, at=0.1)
+        named = dataclasses.replace(named, per_s=1.0)
+        arrivals = [event(str(n), RECEIVED, at=4.0 + 0.3 * n) for n in range(1, 14)]
+        assert endpoint_violations(history, [named, *arrivals])
+        assert endpoint_violations(history, [named, *arrivals], excused=True) == []
+        assert endpoint_violations(history, [named, *arrivals[:11]]) == []
+        ended = event("", RunnerEvent.LIMIT_ENDED, at=5.0)
+        events = sorted([named, *arrivals, ended], key=lambda event: event.at)
+        assert endpoint_violations(history, events) == []
+
+    def test_clients_of_an_instance_that_is_cut_off_are_missed(self):
+        def seen(instance, status, count=20):
+            return [
+                make_request(id=f"{instance}{n}", instance=instance, at=4.0 + n / 10)
+                if status == 200
+                else make_request(instance=instance, at=4.0 + n / 10, status=status)
+                for n in range(count)
+            ]
+
+        cut = Cut("i1", 0.5, 9.0)
+        for status, count, is_found in ((503, 20, True), (200, 20, False)):
+            history = [*seen("i1", status, count), *seen("i2", 200)]
+            evidence = make_evidence(history, [])
+            evidence.cuts = [cut]
+            assert bool(broken_endpoint_promises(evidence)) is is_found
+
 
 class TestLimitHistory:
     """Clients go by a raised limit once it is in force, by a lowered one soon."""
