Endpoints that have crashed don't make an instance useless as a relay

After three crashes nobody could confirm a fourth, so a request that crashes engines went on. A doubt is checked at once now, by connections to some other endpoints, and only a check that reaches none is told to the others; a relay refuses to be asked only when it goes through others itself. The test failed before and passes; 82 tests of crashes and cuts pass.

--- a/src/foxtailsaddle/forward/_endpoint_connector.py
+++ b/src/foxtailsaddle/forward/_endpoint_connector.py
@@ -38,6 +38,7 @@
 PROBE_INTERVAL_S = 0.5  # between two tries of direct paths
 PROBE_TIMEOUT_S = 0.3
 MAX_PROBES = 2  # at once while cut off
+MAX_CHECKED = 6  # other paths, to check whether any is left
 MAX_RETURNING_PROBES = 16  # at once while some endpoint is reached
 
 
@@ -73,6 +74,8 @@
         self._fleet = fleet
         self._peers = peers
         self._data_centre = data_centre
+        self._doubt_arose = trio.Event()
+        self._is_doubt_checked = False
         self._last_relay = NO_INSTANCE
         self._down_until_by_address: dict[str, float] = {}
         self._paused_until_by_peer: dict[str, float] = {}
@@ -98,24 +101,29 @@
         return race.connection
 
     async def run(self) -> None:
-        """Try cut paths again, a few at a time, until cancelled."""
+        """Try cut paths again, a few at a time, and check doubts, until cancelled."""
         while True:
-            await trio.sleep(PROBE_INTERVAL_S)
-            chosen = self._addresses_to_probe()
+            with trio.move_on_after(PROBE_INTERVAL_S):
+                await self._doubt_arose.wait()
+            self._doubt_arose = trio.Event()
+            was_doubtful = self._fleet.paths.is_doubtful
             async with trio.open_nursery() as nursery:
-                for address in chosen:
+                for address in self._addresses_to_probe():
                     nursery.start_soon(self._probe, address)
+            # A doubt that arose meanwhile is checked next.
+            self._is_doubt_checked = was_doubtful and self._fleet.paths.is_doubtful
+            self._tell_if_changed()
 
     def _addresses_to_probe(self) -> list[str]:
-        """Return some cut paths, and one of the others while none seems to be left."""
+        """Return some cut paths, and some others while none seems to be left."""
         paths = self._fleet.paths
         count = MAX_PROBES if paths.is_cut_off else MAX_RETURNING_PROBES
         cut = paths.cut_addresses()
         chosen = random.sample(cut, min(count, len(cut)))
-        if paths.is_cut_off:
+        if paths.is_doubtful:
             listed = {entry.address for entry in self._fleet.endpoints.all()}
             others = sorted(listed.difference(cut))
-            chosen += random.sample(others, min(1, len(others)))
+            chosen += random.sample(others, min(MAX_CHECKED, len(others)))
         return chosen
 
     async def _probe(self, address: str) -> None:
@@ -301,26 +309,25 @@
                 del self._down_until_by_address[address]
 
     def _record_failed(self, address: str) -> None:
-        was_doubtful = self._fleet.paths.is_doubtful
-        self._fleet.paths.record_failed(address)
-        self._tell_if_changed(was_doubtful)
+        paths = self._fleet.paths
+        was_doubtful = paths.is_doubtful
+        paths.record_failed(address)
+        if paths.is_doubtful and not was_doubtful:
+            self._doubt_arose.set()
 
     def _record_reached(self, address: str) -> None:
         paths = self._fleet.paths
-        was_doubtful = paths.is_doubtful
         if paths.record_reached(address, trio.current_time()):
             logger.info("paths: reached directly again", extra={"address": address})
-        self._tell_if_changed(was_doubtful)
+        self._tell_if_changed()
 
     def _record_relayed(self, address: str, race: _Race) -> None:
         """Record that an endpoint is reached through another instance only.
 
         What this instance saw of its failures is not the endpoint's.
         """
-        paths = self._fleet.paths
-        was_doubtful = paths.is_doubtful
-        paths.record_failed(address)
-        if paths.record_cut(address, trio.current_time()):
+        self._record_failed(address)
+        if self._fleet.paths.record_cut(address, trio.current_time()):
             entry = self._fleet.endpoints.at_address(address)
             if entry is not None:
                 self._fleet.health.forget(entry.id)
@@ -334,19 +341,20 @@
                     "why": why,
                 },
             )
-        self._tell_if_changed(was_doubtful)
+        self._tell_if_changed()
 
-    def _tell_if_changed(self, was_doubtful: bool) -> None:
+    def _tell_if_changed(self) -> None:
         """Tell the others at once whether this instance can relay connections."""
         paths = self._fleet.paths
-        if paths.is_doubtful == was_doubtful:
+        is_cut_off = paths.is_cut_off or (paths.is_doubtful and self._is_doubt_checked)
+        if is_cut_off == self._peers.cut_off:
             return
-        self._peers.cut_off = paths.is_doubtful
+        self._peers.cut_off = is_cut_off
         self._peers.broadcast_state()
         cut = len(paths.cut_addresses())
         since_ms = round((trio.current_time() - paths.cut_since) * 1000) if cut else 0
         logger.warning(
-            "paths: cut off" if paths.is_doubtful else "paths: no longer cut off",
+            "paths: cut off" if is_cut_off else "paths: no longer cut off",
             extra={"relayed_endpoints": cut, "since_ms": since_ms},
         )
 
--- a/src/foxtailsaddle/forward/_relay_server.py
+++ b/src/foxtailsaddle/forward/_relay_server.py
@@ -27,7 +27,7 @@
 UNREACHED = b"unreached"
 CONNECT_TIMEOUT_S = 0.3
 CHECK_TIMEOUT_S = 0.1
-CHECKED_ENDPOINTS = 3
+CHECKED_ENDPOINTS = 6
 MAX_CONNECTIONS = 256  # beyond them, another instance is to be asked
 STATUS_CONNECTED = 200
 STATUS_FORBIDDEN = 403
@@ -116,7 +116,7 @@
         if entry is None or entry.state is not EndpointState.READY:
             return STATUS_FORBIDDEN
         is_full = self.open_connections >= MAX_CONNECTIONS
-        if is_full or self._peers.leaving or self._fleet.paths.is_doubtful:
+        if is_full or self._peers.leaving or self._fleet.paths.is_cut_off:
             return STATUS_BUSY
         logger.debug("relay: opened", extra={"peer": instance, "endpoint": entry.id})
         return None
