--- a/src/foxtailsaddle/forward/_streams.py
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -285,10 +285,11 @@
                 response.status_code, _without_length(headers)
             )
         await self._relay_events(context, attempt, plan, buffer)
-        if not _is_complete(attempt, buffer):
+        if not _is_complete(buffer):
             attempt.outcome = AttemptOutcome.FAILED
             raise ExchangeBrokenError(
-                f'"{plan.endpoint}" ended inside an event', connection_lost=True
+                f'"{plan.endpoint}" ended before an event or inside one',
+                connection_lost=True,
             )
         attempt.outcome = AttemptOutcome.GOOD
         # The end of the connection alone may also be that of the engine, and the rest
@@ -454,14 +455,9 @@
     return [header for header in headers if header[0] != b"content-length"]
 
 
-def _is_complete(attempt: Attempt, buffer: EventBuffer) -> bool:
-    """Return whether a stream that has ended is complete.
-
-    Without a length or chunks, it must have ended after an event.
-    """
-    if buffer.has_partial_event:
-        return False
-    return attempt.has_framing or buffer.event_count > 0
+def _is_complete(buffer: EventBuffer) -> bool:
+    """Return whether a stream that has ended is complete: it ended after an event."""
+    return buffer.event_count > 0 and not buffer.has_partial_event
 
 
 def _output_tokens(prompt: PromptSize) -> int:
--- a/tests/test_ends_of_answers.py
+++ b/tests/test_ends_of_answers.py
@@ -76,6 +76,39 @@
         assert world.runners["e0"].runs
 
 
+class TestStreamsWithoutAnyEvent:
+    """A stream that ends before its first event has been broken off."""
+
+    # Guards against an empty answer that looks complete (soak, seed 9919).
+    @pytest.mark.parametrize("framing", list(Framing))
+    @pytest.mark.parametrize("engines", [1, 2])
+    def test_is_not_passed_on_as_complete(self, framing, engines):
+        @in_world(engines=engines)
+        async def case(_, world):
+            for runner in world.runners.values():
+                runner.framing = framing
+                runner.fault = Fault.EMPTY
+            reply = await world.ask(world.apps[0], "/stream/x")
+            assert reply.is_truncated or reply.status != 200
+
+        case(self)
+
+    @pytest.mark.parametrize("framing", list(Framing))
+    def test_goes_on_at_another_engine(self, framing):
+        @in_world(engines=2)
+        async def case(_, world):
+            for runner in world.runners.values():
+                runner.framing = framing
+            world.runners["e0"].fault = Fault.EMPTY
+            for _ in range(3):
+                reply = await world.ask(world.apps[0], "/stream/x")
+                assert reply.status == 200 and not reply.is_truncated
+                assert event_ids(reply.body) == [1, 2, 3, 4]
+            assert world.runners["e0"].runs
+
+        case(self)
+
+
 class TestPlainAnswersWithoutLength:
     @in_world(plain=2)
     async def test_a_reset_is_retried(self, world):
