A stall that a cut-off instance sees is not told to the others

It is told only by an instance that has just connected to some endpoint. test_no_engine_is_suspected_of_a_stall_by_the_others failed before and passes.

--- a/src/foxtailsaddle/forward/_streams.py
+++ b/src/foxtailsaddle/forward/_streams.py
@@ -311,6 +311,9 @@
             elif plan.helpers:
                 # Any of these engines may be the one that has not finished its part.
                 attempt.outcome = AttemptOutcome.STUCK
+                attempt.is_withheld = not self._fleet.is_own_view_sound(
+                    plan.endpoint, trio.current_time()
+                )
             else:
                 self._record_silence(plan)
             raise
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -10,6 +10,7 @@
 from tests.log_records import recorded_logs
 from tests.loopback_world import eventually, in_world
 
+HELPED_PROMPT = {"X-Token-Usage": "100000,100", "X-Deadline-Ms": "9000"}
 DETECTED_S = 3.0  # after the cut, from which the instance serves as others do
 SERVED_SHARE = 2 / 3  # of what the others serve
 
@@ -130,6 +131,27 @@
                 for app in world.apps:
                     world.heal(app)
 
+    # Guards against engines that the others take for stalling shared prompts.
+    @in_world(engines=9, plain=0, instances=2)
+    async def test_no_engine_is_suspected_of_a_stall_by_the_others(self, world):
+        app, other = world.apps
+        for runner in world.runners.values():
+            runner.work_s = 1.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                lambda: world.ask(app, "/stream/x", headers=HELPED_PROMPT)
+            )
+            await trio.sleep(0.6)
+            world.cut_off(app, CutKind.HANG)
+            with recorded_logs() as logs:
+                await eventually(
+                    lambda: logs.with_message("stream: attempt failed"), 9.0
+                )
+            await trio.sleep(0.2)
+            health, now = other.fleet.health, trio.current_time()
+            assert not any(health.stall_suspicion(id, now) for id in world.runners)
+            world.heal(app)
+
 
 class TestRelayedConnections:
     """What goes through another instance keeps all promises of a direct connection."""
