--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -18,7 +18,7 @@
 from ._attempt import JobIdGenerator
 from ._connection import ClientConnection, LifecycleStage
 from ._crash_detector import CrashDetector
-from ._datagrams import Snapshot, encode_snapshot
+from ._datagrams import encode_snapshot
 from ._endpoint_connector import EndpointConnector
 from ._endpoint_notices import record_notice_at
 from ._exchange import KeepAliveHttpClient
@@ -27,6 +27,7 @@
 from ._limit_gate import LimitGate
 from ._metrics import ForwardMetrics
 from ._part_checks import PartChecks
+from ._peer_messages import Snapshot
 from ._peers import Peers
 from ._plain import PlainForwarder
 from ._relay_server import RelayServer
--- a/src/foxtailsaddle/forward/_peer_updates.py
+++ b/src/foxtailsaddle/forward/_peer_updates.py
@@ -5,7 +5,8 @@
 import trio
 
 from ..core import InstanceId, NamedLimit
-from ._datagrams import (
+from ._fleet import FleetState
+from ._peer_messages import (
     EndpointDied,
     GrantReplied,
     GrantRequested,
@@ -20,7 +21,6 @@
     SlowdownChanged,
     Update,
 )
-from ._fleet import FleetState
 
 
 class PeerUpdates:
--- a/src/foxtailsaddle/forward/_peers.py
+++ b/src/foxtailsaddle/forward/_peers.py
@@ -23,7 +23,9 @@
     StoreVersion,
     owner_of,
 )
-from ._datagrams import (
+from ._datagrams import decode, encode
+from ._fleet import FleetState
+from ._peer_messages import (
     NO_VERSION,
     DatagramHeader,
     EndpointDied,
@@ -37,10 +39,7 @@
     PartTrialClaimed,
     SlowdownChanged,
     Update,
-    decode,
-    encode,
 )
-from ._fleet import FleetState
 from ._peer_updates import PeerUpdates
 
 logger = logging.getLogger("foxtailsaddle.peers")
--- a/src/foxtailsaddle/forward/_store_sync.py
+++ b/src/foxtailsaddle/forward/_store_sync.py
@@ -17,9 +17,10 @@
 )
 from ..errors import FoxtailsaddleError, SettingsError
 from ..ports import Store, StoredRow, StoredRows, StoreSchema
-from ._datagrams import ListChanged, Snapshot, decode_snapshot
+from ._datagrams import decode_snapshot
 from ._exchange import KeepAliveHttpClient
 from ._fleet import FleetState
+from ._peer_messages import ListChanged, Snapshot
 from ._peers import Peer, Peers
 from ._registration import InstanceRegistration
 from ._table_follower import TableFollower
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -23,7 +23,9 @@
     StoreVersion,
     place_plain,
 )
-from foxtailsaddle.forward._datagrams import (
+from foxtailsaddle.forward._datagrams import decode, encode
+from foxtailsaddle.forward._fleet import NO_JOB, FleetState
+from foxtailsaddle.forward._peer_messages import (
     NO_VERSION,
     DatagramHeader,
     EndpointDied,
@@ -33,10 +35,7 @@
     PartRefused,
     PartsCleared,
     PartTrialClaimed,
-    decode,
-    encode,
 )
-from foxtailsaddle.forward._fleet import NO_JOB, FleetState
 from foxtailsaddle.forward._peers import (
     FORGET_AFTER_S,
     LARGE_FLEET_PEERS,
