--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -433,6 +433,7 @@
         self.metrics.set("live_instances", self.peers.count_live_instances())
         self.metrics.set("jobs", len(self.fleet.engine_loads))
         self.metrics.set("connections", len(self._connections))
+        self.metrics.set("limited_endpoints", self.fleet.count_limited())
         self.metrics.set("dropped_updates", self.peers.dropped_updates)
         body, content_type = self.metrics.render()
         return Page(200, body, content_type)
--- a/src/foxtailsaddle/forward/_fleet.py
+++ b/src/foxtailsaddle/forward/_fleet.py
@@ -303,6 +303,11 @@
         limits = self.endpoint_limits.known()
         return [limit for limit in limits if limit.endpoint in self.endpoints]
 
+    def count_limited(self) -> int:
+        """Return the number of endpoints with a limit at present."""
+        limit_of = self.endpoint_limits.limit_of
+        return sum(limit_of(entry) is not None for entry in self.endpoints.all())
+
     def take_over_limit(self, limit: NamedLimit) -> None:
         """Record what an endpoint said of its limit to another instance."""
         if self.endpoint_limits.record(limit):
--- a/src/foxtailsaddle/forward/_limit_gate.py
+++ b/src/foxtailsaddle/forward/_limit_gate.py
@@ -22,8 +22,8 @@
     NamedLimit,
     grant_interval_s,
 )
-from ._datagrams import GrantReplied, GrantRequested
 from ._fleet import FleetState
+from ._peer_messages import GrantReplied, GrantRequested
 from ._peers import NO_INSTANCE, Peers, limit_update
 
 logger = logging.getLogger("foxtailsaddle.limits")
@@ -77,6 +77,15 @@
             return True
         reply = await self._request(limit, max_wait_s)
         self._record_next_grant(limit, reply)
+        logger.info(
+            "limits: granted" if reply.is_granted else "limits: not granted",
+            extra={
+                "endpoint": entry.id,
+                "per_s": limit.per_s,
+                "wait_ms": round(reply.wait_s * 1000),
+                "max_wait_ms": round(max_wait_s * 1000),
+            },
+        )
         if reply.is_granted:
             await trio.sleep(reply.wait_s)
         return reply.is_granted
--- a/src/foxtailsaddle/forward/_retrying.py
+++ b/src/foxtailsaddle/forward/_retrying.py
@@ -108,12 +108,17 @@
     """
     if not context.possible_runs:
         usable = fleet.endpoints.usable(context.service.id)
+        wait_s = limit_wait_s(fleet, context, now)
         retry_after_s = max(
-            min_retry_after_s,
-            fleet.holds.pause_left_s(usable, now),
-            limit_wait_s(fleet, context, now),
+            min_retry_after_s, fleet.holds.pause_left_s(usable, now), wait_s
         )
-        return NoEndpointError(str(error), retry_after_s=retry_after_s)
+        message = str(error)
+        if wait_s > max_limit_wait_s(context, now):
+            message = (
+                f'the limits that the endpoints of service "{context.service.id}" '
+                f"name allow no request for {wait_s:.2f} s"
+            )
+        return NoEndpointError(message, retry_after_s=retry_after_s)
     if context.remaining_s(now) <= 0:
         return DeadlineExceededError(str(error), verdict=context.verdict)
     return EndpointFailedError(str(error), verdict=context.verdict)
