--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -434,6 +434,8 @@
         self.metrics.set("jobs", len(self.fleet.engine_loads))
         self.metrics.set("connections", len(self._connections))
         self.metrics.set("limited_endpoints", self.fleet.count_limited())
+        self.metrics.set("cut_paths", len(self.fleet.paths.cut_addresses()))
+        self.metrics.set("relayed", self.relay_server.open_connections)
         self.metrics.set("dropped_updates", self.peers.dropped_updates)
         body, content_type = self.metrics.render()
         return Page(200, body, content_type)
--- a/src/foxtailsaddle/forward/_attempt.py
+++ b/src/foxtailsaddle/forward/_attempt.py
@@ -130,6 +130,8 @@
             self.outcome = AttemptOutcome.UNREACHABLE
             self.is_withheld = not error.is_confirmed
             raise
+        if self._exchange.relay is not None:
+            context.log_fields["relay"] = self._exchange.relay
         self._check_holds()
         headers = self._header_codec.endpoint_headers(context.headers, dispatch)
         context.possible_runs += 1
--- a/src/foxtailsaddle/forward/_endpoint_connector.py
+++ b/src/foxtailsaddle/forward/_endpoint_connector.py
@@ -268,7 +268,7 @@
         except (OSError, h11.RemoteProtocolError) as error:
             raise _RelayFailedError(f'"{peer.id}" broke off: {error}') from error
         if response.status_code == STATUS_CONNECTED:
-            return RelayedSocket(sock, bytes(http.trailing_data[0]))
+            return RelayedSocket(sock, bytes(http.trailing_data[0]), peer.id)
         if response.status_code == STATUS_NOT_REACHED:
             is_refused = dict(response.headers).get(OUTCOME_HEADER) == REFUSED
             raise NothingSentError(
--- a/src/foxtailsaddle/forward/_exchange.py
+++ b/src/foxtailsaddle/forward/_exchange.py
@@ -5,8 +5,10 @@
 import h11
 import trio
 
+from ..core import InstanceId
 from ..errors import ExchangeBrokenError, ResponseTooLargeError
 from ..ports import Headers, HttpReply
+from ._relay_frames import RelayedSocket
 from ._sockets import RECEIVE_BYTES, Connect, Connection, connect, send_all
 
 CONNECT_TIMEOUT_S = 0.5
@@ -124,6 +126,11 @@
         self._received_bytes = self._body_bytes = 0
         return True
 
+    @property
+    def relay(self) -> InstanceId | None:
+        """The instance through which the connection goes, ``None`` if it is direct."""
+        return self._sock.relay if isinstance(self._sock, RelayedSocket) else None
+
     @property
     def is_quiet(self) -> bool:
         """Whether an idle connection is open and the server has sent nothing."""
--- a/src/foxtailsaddle/forward/_relay_frames.py
+++ b/src/foxtailsaddle/forward/_relay_frames.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from ..core import InstanceId
 from ._sockets import RECEIVE_BYTES, send_all
 
 LENGTH_BYTES = 4
@@ -25,10 +26,14 @@
 
     :param sock: the connection to the relaying instance.
     :param received: bytes that have arrived on it already.
+    :param relay: the relaying instance.
     """
 
-    def __init__(self, sock: trio.socket.SocketType, received: bytes) -> None:
+    def __init__(
+        self, sock: trio.socket.SocketType, received: bytes, relay: InstanceId
+    ) -> None:
         self._sock = sock
+        self.relay = relay
         self._buffer = bytearray(received)
         self._frame_left = 0
 
