What a relay says of one endpoint doesn't keep it from being asked for another

Refusals that concern the endpoint pause no relay now, and only an answer of another instance is remembered.

--- a/src/foxtailsaddle/forward/_endpoint_connector.py
+++ b/src/foxtailsaddle/forward/_endpoint_connector.py
@@ -23,6 +23,7 @@
     OUTCOME_HEADER,
     REFUSED,
     STATUS_CONNECTED,
+    STATUS_FORBIDDEN,
     STATUS_NOT_REACHED,
 )
 from ._sockets import RECEIVE_BYTES, Connection, connect, send_all
@@ -43,7 +44,14 @@
 
 
 class _RelayFailedError(Exception):
-    """Another instance did not say whether it reaches an endpoint."""
+    """Another instance did not say whether it reaches an endpoint.
+
+    :param concerns_endpoint: it may still be asked for other endpoints.
+    """
+
+    def __init__(self, message: str, *, concerns_endpoint: bool = False) -> None:
+        super().__init__(message)
+        self.concerns_endpoint = concerns_endpoint
 
 
 @dataclasses.dataclass(slots=True)
@@ -203,10 +211,12 @@
         try:
             connection = await self._ask(peer, address, timeout_s)
         except _RelayFailedError as error:
-            self._pause(peer, str(error))
+            if not error.concerns_endpoint:
+                self._pause(peer, str(error))
             return
         except NothingSentError as error:
             race.relay_error = error
+            self._remember_down(address)
         else:
             if race.connection is not None:
                 connection.close()
@@ -275,7 +285,10 @@
                 f'"{address}" is not reached by "{peer.id}" either',
                 connection_refused=is_refused,
             )
-        raise _RelayFailedError(f'"{peer.id}" responded with {response.status_code}')
+        raise _RelayFailedError(
+            f'"{peer.id}" responded with {response.status_code}',
+            concerns_endpoint=response.status_code == STATUS_FORBIDDEN,
+        )
 
     def _pause(self, peer: Peer, reason: str) -> None:
         """Ask an instance that could not help no more for a while."""
@@ -290,8 +303,6 @@
         """
         own_error = race.direct_error or race.relay_error
         if race.relay_error is not None:
-            self._down_until_by_address[address] = trio.current_time() + DOWN_S
-            self._forget_old_downs()
             is_refused = race.relay_error.connection_refused
             message = f'"{address}" could not be reached, nor by another instance'
             return NothingSentError(message, connection_refused=is_refused)
@@ -302,8 +313,10 @@
             message, connection_refused=is_refused and is_alone, is_confirmed=is_alone
         )
 
-    def _forget_old_downs(self) -> None:
+    def _remember_down(self, address: str) -> None:
+        """Ask others for an endpoint that they don't reach no more for a while."""
         now = trio.current_time()
+        self._down_until_by_address[address] = now + DOWN_S
         for address, until in list(self._down_until_by_address.items()):
             if until <= now:
                 del self._down_until_by_address[address]
--- a/standins/front_world.py
+++ b/standins/front_world.py
@@ -114,24 +114,24 @@
     """A store, runners and instances into which tests inject faults."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
-        self._nursery = nursery
+        self.nursery = nursery
         self.rows = RowStore()
         self.store = store_server(self.rows, "127.0.0.1")
         self.runners: dict[str, Runner] = {}
         self.apps: list[forward.FrontApplication] = []
         self._scopes: list[trio.CancelScope] = []
-        self._cuts: list[InstanceCut] = []
+        self.cuts: list[InstanceCut] = []
         self._port_reservations: list[PortReservation] = []
         self._counter = 0
 
     async def start_store(self) -> None:
         """Start the server of the store."""
-        await self._nursery.start(self.store.run)
+        await self.nursery.start(self.store.run)
 
     async def add_runner(self, id: str, service: str, **options: t.Any) -> Runner:
         """Start a runner and write its row to the ``servers`` table."""
         runner = Runner(id, service, host="127.0.0.1", **options)
-        await self._nursery.start(runner.server.run)
+        await self.nursery.start(runner.server.run)
         self.runners[id] = runner
         self.rows.put("servers", id, runner.entry())
         return runner
@@ -144,14 +144,14 @@
         await trio.sleep(pause_s)
         del self.runners[runner.id]
         self.rows.delete("servers", runner.id)
-        await runner.restart(self._nursery)
+        await runner.restart(self.nursery)
         self.runners[runner.id] = runner
         self.rows.put("servers", runner.id, runner.entry())
 
     def restart_crashed_runners(self, pause_s: float) -> None:
         """Start each runner that crashes from now on again after a pause."""
         for runner in self.runners.values():
-            runner.on_crash = lambda crashed: self._nursery.start_soon(
+            runner.on_crash = lambda crashed: self.nursery.start_soon(
                 self.restart_runner, crashed, pause_s
             )
 
@@ -202,8 +202,8 @@
         scope = trio.CancelScope()
         self._scopes.append(scope)
         cut = InstanceCut()
-        self._cuts.append(cut)
-        self._nursery.start_soon(_run, app, scope, cut)
+        self.cuts.append(cut)
+        self.nursery.start_soon(_run, app, scope, cut)
         return app
 
     def cut_off(
@@ -216,11 +216,11 @@
         runners = self.runners.values() if runners is None else runners
         addresses = [runner.server.address.rpartition(":") for runner in runners]
         pairs = [(host, int(port)) for host, _, port in addresses]
-        self._cuts[self.apps.index(app)].begin(kind, pairs)
+        self.cuts[self.apps.index(app)].begin(kind, pairs)
 
     def heal(self, app: forward.FrontApplication) -> None:
         """Let an instance reach all runners again."""
-        self._cuts[self.apps.index(app)].heal()
+        self.cuts[self.apps.index(app)].heal()
 
     def kill(self, app: forward.FrontApplication) -> None:
         """Cancel an instance without a shutdown."""
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -1,10 +1,15 @@
 """Tests for instances that are cut off from endpoints, while all else reaches them."""
 
+import contextlib
+import dataclasses
+
 import pytest
 import trio
 
+from foxtailsaddle.core import EndpointState
+from foxtailsaddle.errors import NothingSentError
 from foxtailsaddle.forward._fleet import fingerprint
-from standins.cuts import CutKind
+from standins.cuts import CutKind, present_cut
 from standins.front_world import ACCOUNT
 from standins.runner import Fault
 from tests.log_records import recorded_logs
@@ -304,6 +309,39 @@
         assert not world.apps[0].fleet.paths.is_cut_off
 
 
+class TestWhomToAsk:
+    """Answers about one endpoint keep no instance from being asked for another."""
+
+    # Guards against relays that are given up for an endpoint that drains there.
+    @in_world(engines=0, plain=3, instances=2)
+    async def test_an_endpoint_that_the_relay_knows_to_drain(self, world):
+        app, relay = world.apps
+        world.cut_off(app, CutKind.RESET)
+        draining = relay.fleet.endpoints.get("p0")
+        relay.fleet.endpoints.put(
+            dataclasses.replace(draining, state=EndpointState.DRAINING)
+        )
+        assert await served(world, app, "/safe/x", 10) == 10
+
+    # Guards against an endpoint that stays down in memory while it is asked for.
+    @in_world(engines=0, plain=2, instances=2)
+    async def test_an_endpoint_that_was_down_and_is_back_behind_a_cut(self, world):
+        app, runner = world.apps[0], world.runners["p0"]
+        address = runner.server.address
+        present_cut.set(world.cuts[0])  # this test connects in place of the instance
+        runner.crash()
+        with pytest.raises(NothingSentError):
+            await app.connector.connect(address, 0.4)
+        world.cut_off(app, CutKind.RESET, [runner])
+        await runner.restart(world.nursery)
+        with trio.fail_after(1.5):
+            while True:
+                with contextlib.suppress(NothingSentError):
+                    (await app.connector.connect(address, 0.4)).close()
+                    break
+                await trio.sleep(0.2)
+
+
 class TestWhoMayUseARelay:
     """Only instances of the fleet are relayed, and only to listed endpoints."""
 
