An isolated instance proves no crash by its own connections

Now it does so only while no other instance is known, heard or not. test_no_crash_is_reported_by_an_isolated_instance failed before and passes.

--- a/src/foxtailsaddle/forward/_endpoint_connector.py
+++ b/src/foxtailsaddle/forward/_endpoint_connector.py
@@ -299,7 +299,8 @@
         """Return the error of a connection that could not be established.
 
         It says that the process of the endpoint has ended only if another instance
-        finds that too, or there is no other.
+        finds that too, or no other is known: one that hears no other may be cut off
+        from endpoints, too.
         """
         own_error = race.direct_error or race.relay_error
         if race.relay_error is not None:
@@ -307,7 +308,7 @@
             message = f'"{address}" could not be reached, nor by another instance'
             return NothingSentError(message, connection_refused=is_refused)
         message = own_error.message if own_error else f'"{address}" was not reached'
-        is_alone = self._peers.count_live_instances() == 1
+        is_alone = not self._peers.has_relays()
         is_refused = own_error is not None and own_error.connection_refused
         return NothingSentError(
             message, connection_refused=is_refused and is_alone, is_confirmed=is_alone
--- a/src/foxtailsaddle/forward/_peers.py
+++ b/src/foxtailsaddle/forward/_peers.py
@@ -162,6 +162,13 @@
             and incarnation == str(peer.incarnation)
         )
 
+    def has_relays(self) -> bool:
+        """Return whether other instances are known that could relay connections.
+
+        They may be out of reach at present.
+        """
+        return any(peer.control_address for peer in self._peer_by_id.values())
+
     def store_readers(self) -> list[Peer]:
         """Return the other instances that follow the store at present."""
         now = trio.current_time()
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -136,6 +136,25 @@
                 for app in world.apps:
                     world.heal(app)
 
+    # Guards against crash evidence of an instance that hears no other one either.
+    @in_world(engines=4, plain=0, instances=2)
+    async def test_no_crash_is_reported_by_an_isolated_instance(self, world):
+        app, other = world.apps
+        for runner in world.runners.values():
+            runner.events, runner.gap_s = 300, 0.02
+        await eventually(lambda: app.peers.live())
+        world.kill(other)
+        await eventually(lambda: not app.peers.live(), 6.0)
+        async with trio.open_nursery() as nursery:
+            for _ in range(6):
+                nursery.start_soon(lambda: world.ask(app, "/stream/x"))
+            await trio.sleep(0.3)
+            with recorded_logs() as logs:
+                world.cut_off(app, CutKind.RESET)
+                await trio.sleep(1.0)
+            assert not logs.with_message("crashes: endpoint crashed")
+            nursery.cancel_scope.cancel()
+
     # Guards against engines that the others take for stalling shared prompts.
     @in_world(engines=9, plain=0, instances=2)
     async def test_no_engine_is_suspected_of_a_stall_by_the_others(self, world):
