Updates that wait to be sent have a module of their own

The second part is _update_outbox.py now; nothing else changes. Tests of peers, the list and limits pass.

--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -157,7 +157,7 @@
             settings.peer_port,
             settings.data_centre,
         )
-        self.fleet.notifier = self.peers
+        self.fleet.notifier = self.peers.outbox
         self.connector = EndpointConnector(self.fleet, self.peers, settings.data_centre)
         self.fleet.connect = self.connector.connect
         self.relay_server = RelayServer(self.fleet, self.peers)
@@ -436,6 +436,6 @@
         self.metrics.set("limited_endpoints", self.fleet.count_limited())
         self.metrics.set("cut_paths", len(self.fleet.paths.cut_addresses()))
         self.metrics.set("relayed", self.relay_server.open_connections)
-        self.metrics.set("dropped_updates", self.peers.dropped_updates)
+        self.metrics.set("dropped_updates", self.peers.outbox.dropped_updates)
         body, content_type = self.metrics.render()
         return Page(200, body, content_type)
--- a/src/foxtailsaddle/forward/_limit_gate.py
+++ b/src/foxtailsaddle/forward/_limit_gate.py
@@ -24,7 +24,8 @@
 )
 from ._fleet import FleetState
 from ._peer_messages import GrantReplied, GrantRequested
-from ._peers import NO_INSTANCE, Peers, limit_update
+from ._peers import NO_INSTANCE, Peers
+from ._update_outbox import limit_update
 
 logger = logging.getLogger("foxtailsaddle.limits")
 
--- a/src/foxtailsaddle/forward/_peers.py
+++ b/src/foxtailsaddle/forward/_peers.py
@@ -1,6 +1,5 @@
 """Exchanges heartbeats and load updates with the other instances, over UDP."""
 
-import collections
 import dataclasses
 import logging
 import random
@@ -10,16 +9,9 @@
 import trio
 
 from ..core import (
-    AttemptOutcome,
     DataCentre,
-    EndpointDeath,
     EndpointId,
     InstanceId,
-    Job,
-    JobId,
-    NamedLimit,
-    PromptPartId,
-    RefusedPart,
     StoreVersion,
     owner_of,
 )
@@ -28,19 +20,14 @@
 from ._peer_messages import (
     NO_VERSION,
     DatagramHeader,
-    EndpointDied,
     JobBegan,
-    JobEnded,
     JobPlaced,
-    LimitNamed,
-    ListChanged,
     PartRefused,
     PartsCleared,
-    PartTrialClaimed,
-    SlowdownChanged,
     Update,
 )
 from ._peer_updates import PeerUpdates
+from ._update_outbox import UpdateOutbox, limit_update
 
 logger = logging.getLogger("foxtailsaddle.peers")
 
@@ -51,7 +38,6 @@
 TIMEOUT_HEARTBEATS = 3.5
 FORGET_AFTER_S = 30.0
 UPDATES_PER_DATAGRAM = 12
-MAX_PENDING_UPDATES = 2000
 MAX_DATAGRAM_BYTES = 65535
 LARGE_FLEET_PEERS = 16  # more peers receive in batches, and plain calls aren't sent
 RECEIVE_PAUSE_S = 0.02  # between two batches
@@ -101,8 +87,8 @@
     :param data_centre: of this instance.
     :ivar incarnation: number of this process.
     :ivar cut_off: this instance reaches no endpoint itself.
-    :ivar dropped_updates: updates that were not sent, since too many were waiting.
     :ivar updates: applies what peers send.
+    :ivar outbox: updates about this instance's work, which are sent to all others.
     :ivar on_datagram_received: called with the sender of each datagram, before the
         updates in it are applied.
     :ivar on_rejoined: called when this instance hears another one, after it has
@@ -124,13 +110,10 @@
         self.incarnation = secrets.randbits(INCARNATION_BITS)
         self._peer_by_id: dict[InstanceId, Peer] = {}
         self._seed_addresses: set[tuple[str, int]] = set()
-        self._pending: collections.deque[Update] = collections.deque()
-        self._updates_pending = trio.Event()
+        self.outbox = UpdateOutbox()
         self._sock: trio.socket.SocketType | None = None
         self._last_broadcast_at = 0.0
-        self._is_dropping = False
         self._forgotten = 0
-        self.dropped_updates = 0
         self.leaving = False
         self.cut_off = False
         self.reads_store = False
@@ -227,59 +210,12 @@
             self._sock.close()
             self._sock = None
 
-    def notify_placed(self, job: Job, decode_ms: float) -> None:
-        """Send that a job was placed at an endpoint."""
-        self._queue_update(JobPlaced(job, decode_ms))
-
-    def notify_began(self, job: JobId) -> None:
-        """Send that the first event of a job has arrived."""
-        self._queue_update(JobBegan(job))
-
-    def notify_ended(
-        self, job: JobId, endpoint: EndpointId, outcome: AttemptOutcome
-    ) -> None:
-        """Send that a job has ended."""
-        self._queue_update(JobEnded(job, endpoint, outcome))
-
-    def notify_slowdown(self, endpoint: EndpointId, slowdown: float) -> None:
-        """Send how many times slower than published an endpoint is."""
-        self._queue_update(SlowdownChanged(endpoint, slowdown))
-
-    def notify_death(self, death: EndpointDeath) -> None:
-        """Send that an endpoint crashed while it ran a request."""
-        self._queue_update(EndpointDied(death))
-
-    def notify_part_refused(self, refused: RefusedPart) -> None:
-        """Send that requests with a part of prompts are refused."""
-        self._queue_update(PartRefused(refused))
-
-    def notify_parts_cleared(
-        self,
-        parts: tuple[PromptPartId, ...],
-        age_s: float = 0.0,
-        fingerprint: str = "",
-    ) -> None:
-        """Send that parts which were suspected ran successfully some time ago."""
-        self._queue_update(PartsCleared(parts, age_s, fingerprint))
-
-    def notify_part_trial(self, parts: tuple[PromptPartId, ...], for_s: float) -> None:
-        """Send that this instance tries suspected parts with one request."""
-        self._queue_update(PartTrialClaimed(parts, for_s))
-
-    def notify_limit(self, limit: NamedLimit) -> None:
-        """Send what an endpoint says of its limit."""
-        self._queue_update(limit_update(limit, trio.current_time()))
-
     def send_to(self, instance: InstanceId, update: Update) -> None:
         """Send an update to one other instance at once."""
         peer = self._peer_by_id.get(instance)
         if peer is not None:
             self._send(peer.address, [update], wants_reply=False)
 
-    def notify_list_changed(self, update: ListChanged) -> None:
-        """Send that an entry of the list of endpoints has changed in the store."""
-        self._queue_update(update)
-
     def broadcast_state(self) -> None:
         """Send this instance's state to all others without waiting for a heartbeat."""
         self._broadcast([])
@@ -289,27 +225,11 @@
         self.leaving = True
         self._broadcast([])
 
-    def _queue_update(self, update: Update) -> None:
-        is_full = len(self._pending) >= MAX_PENDING_UPDATES
-        if is_full:
-            self.dropped_updates += 1
-        else:
-            self._pending.append(update)
-        if is_full and not self._is_dropping:
-            logger.warning(
-                "peers: too many updates are waiting, some are not sent",
-                extra={"waiting": len(self._pending)},
-            )
-        self._is_dropping = is_full
-        self._updates_pending.set()
-
     async def _send_updates(self) -> None:
         while True:
-            await self._updates_pending.wait()
-            self._updates_pending = trio.Event()
-            while self._pending:
-                count = min(UPDATES_PER_DATAGRAM, len(self._pending))
-                self._broadcast([self._pending.popleft() for _ in range(count)])
+            await self.outbox.wait()
+            while updates := self.outbox.take(UPDATES_PER_DATAGRAM):
+                self._broadcast(updates)
 
     async def _send_heartbeats(self) -> None:
         for address in self._seed_addresses:
@@ -493,8 +413,3 @@
         for start in range(UPDATES_PER_DATAGRAM, len(updates), UPDATES_PER_DATAGRAM):
             batch = updates[start : start + UPDATES_PER_DATAGRAM]
             self._send(address, batch, wants_reply=False)
-
-
-def limit_update(limit: NamedLimit, now: float) -> LimitNamed:
-    """Return the update that tells another instance of a limit."""
-    return LimitNamed(limit.endpoint, limit.born_ms, limit.per_s, now - limit.heard_at)
--- a/src/foxtailsaddle/forward/_store_sync.py
+++ b/src/foxtailsaddle/forward/_store_sync.py
@@ -249,7 +249,7 @@
         is_sender = self._peers.reads_store and self._is_first_reader()
         for row in () if is_full else rows.rows:
             if is_sender and row.version > self._peers.list_version:
-                self._peers.notify_list_changed(
+                self._peers.outbox.notify_list_changed(
                     ListChanged(self._peers.list_version, row)
                 )
             self._apply_list_row(row)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -39,9 +39,9 @@
 from foxtailsaddle.forward._peers import (
     FORGET_AFTER_S,
     LARGE_FLEET_PEERS,
-    MAX_PENDING_UPDATES,
     Peers,
 )
+from foxtailsaddle.forward._update_outbox import MAX_PENDING_UPDATES
 from foxtailsaddle.ports import StoredRow
 from tests.loopback_world import eventually
 
@@ -219,10 +219,10 @@
     def test_updates_beyond_the_limit_are_counted(self, peers):
         async def main():
             for number in range(MAX_PENDING_UPDATES + 3):
-                peers.notify_began(JobId(number))
+                peers.outbox.notify_began(JobId(number))
 
         trio.run(main)
-        assert peers.dropped_updates == 3
+        assert peers.outbox.dropped_updates == 3
 
 
 class TestIsolation:
