A substitute grants a quarter of a limit while the granting instance may be heard

Where one instance didn't hear the granting one and others did, it was granted by the next one at the full rate, so the endpoint got 123 requests in 5.5 s at a limit of 12 a second (77 are allowed in 4 s). An instance that grants in place of one that it hears itself grants a quarter now; both together stay within one and a half times the limit. test_while_one_instance_is_not_heard_by_another[12] failed before and passes. Orders that are counted have a test.

--- a/src/foxtailsaddle/forward/_limit_gate.py
+++ b/src/foxtailsaddle/forward/_limit_gate.py
@@ -35,6 +35,7 @@
 # another reason than the limit.
 RETRY_S = 0.3
 PASSED_OVER_S = 2.0  # for which an instance that did not answer isn't asked
+SUBSTITUTE_SHARE = 0.25  # of a limit, granted beside an instance that may grant all
 MAX_REMEMBERED_REPLIES = 4000
 # Random, so that replies to an earlier process are told from those to this one.
 FIRST_NUMBER_BITS = 62
@@ -98,7 +99,7 @@
             return
         granting = self._granting_instance(limit)
         if granting == self._fleet.instance:
-            self._schedules.request(limit, math.inf, trio.current_time())
+            self._grant(limit, math.inf, self._passed_over())
         else:
             self._peers.send_to(granting, self._new_request(limit, math.inf))
 
@@ -112,7 +113,7 @@
     async def _request(self, limit: NamedLimit, max_wait_s: float) -> GrantReply:
         granting = self._granting_instance(limit)
         if granting == self._fleet.instance:
-            return self._schedules.request(limit, max_wait_s, trio.current_time())
+            return self._grant(limit, max_wait_s, self._passed_over())
         request = self._new_request(limit, max_wait_s)
         pending = self._pending_by_number[request.number] = _PendingGrant()
         try:
@@ -161,7 +162,19 @@
         limit = self._fleet.endpoint_limits.latest(endpoint)
         if limit is None or limit.per_s == NO_LIMIT:
             return GrantReply(True, 0.0)
-        return self._schedules.request(limit, request.max_wait_s, trio.current_time())
+        return self._grant(limit, request.max_wait_s, request.passed_over)
+
+    def _grant(
+        self, limit: NamedLimit, max_wait_s: float, passed_over: InstanceId
+    ) -> GrantReply:
+        """Grant a request at an endpoint for which this instance grants.
+
+        In place of an instance that others may still hear, it grants only a part.
+        """
+        usual = self._peers.granting_instance(limit.endpoint)
+        if passed_over != NO_INSTANCE and usual == passed_over:
+            limit = dataclasses.replace(limit, per_s=SUBSTITUTE_SHARE * limit.per_s)
+        return self._schedules.request(limit, max_wait_s, trio.current_time())
 
     def _take_reply(self, update: GrantReplied) -> None:
         pending = self._pending_by_number.get(update.number)
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -2,7 +2,21 @@
 
 import pytest
 import trio
-
+import trio.testing
+
+from foxtailsaddle.core import (
+    DataCentre,
+    EndpointId,
+    EndpointState,
+    InstanceId,
+    ListedEndpoint,
+    NamedLimit,
+    RetryWindow,
+    ServiceId,
+)
+from foxtailsaddle.forward._fleet import FleetState
+from foxtailsaddle.forward._limit_gate import LimitGate
+from foxtailsaddle.forward._peers import Peers
 from standins.runner import Fault
 from tests.loopback_world import eventually, in_world
 from tests.request_windows import allowed_requests, most_in_window
@@ -112,6 +126,35 @@
         await send_steadily(world, "/safe/x", 40)
         assert_kept(world.runners["p0"], 1, since)
 
+    # Guards against two schedules at the full rate, where one instance doesn't hear the
+    # granting one and others do.
+    @pytest.mark.parametrize("per_s", [1, 12])
+    def test_while_one_instance_is_not_heard_by_another(self, per_s):
+        @in_world(random_ties=True, engines=0, plain=1, instances=4)
+        async def case(_, world):
+            set_limit(world, "p", per_s)
+            granting = world.apps[0].peers.granting_instance(EndpointId("p0"))
+            owner = next(a for a in world.apps if a.fleet.instance == granting)
+            others = [app for app in world.apps if app is not owner]
+            deaf = others[0]
+
+            def drop(peers, unheard):
+                send_to = peers.send_to
+
+                def send(instance, update):
+                    if instance != unheard:
+                        send_to(instance, update)
+
+                peers.send_to = send
+
+            drop(deaf.peers, owner.fleet.instance)
+            drop(owner.peers, deaf.fleet.instance)
+            since = trio.current_time() + SETTLE_S
+            await send_steadily(world, "/safe/x", 60, apps=others[:2])
+            assert_kept(world.runners["p0"], per_s, since)
+
+        case(self)
+
 
 class TestUseOfTheLimit:
     """A limit is used, and what it doesn't allow is served elsewhere or refused."""
@@ -163,6 +206,30 @@
         assert not any(runner.requests_at for runner in limited)
 
 
+class TestOrders:
+    # Guards against orders beside the requests that a limit allows.
+    def test_an_order_that_cannot_wait_is_counted(self):
+        trio.run(self.count_orders, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def count_orders(self):
+        fleet = FleetState(InstanceId("i1"), RetryWindow(0.2, 10.0, 100.0))
+        gate = LimitGate(fleet, Peers(fleet, "", "127.0.0.1", 0))
+        entry = ListedEndpoint(
+            EndpointId("e0"),
+            ServiceId("model"),
+            "127.0.0.1:1",
+            DataCentre("a"),
+            EndpointState.READY,
+        )
+        fleet.endpoint_limits.record(NamedLimit(entry.id, 0, 1.0, trio.current_time()))
+        for _ in range(3):
+            gate.charge(entry)
+        began_at = trio.current_time()
+        assert not await gate.admit(entry, 3.5)
+        assert await gate.admit(entry, 4.5)
+        assert trio.current_time() - began_at == pytest.approx(4.0)
+
+
 class TestKnowledgeOfLimits:
     """Instances tell each other of limits and of their end."""
 
