--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -14,6 +14,7 @@
 from standins.runner import Fault
 from tests.log_records import recorded_logs
 from tests.loopback_world import eventually, in_world
+from tests.request_windows import allowed_requests, most_in_window
 
 HELPED_PROMPT = {"X-Token-Usage": "100000,100", "X-Deadline-Ms": "9000"}
 DETECTED_S = 3.0  # after the cut, from which the instance serves as others do
@@ -328,6 +329,25 @@
         assert not world.apps[0].fleet.paths.is_cut_off
 
 
+class TestLimitsBehindARelay:
+    # Guards against requests of cut-off instances beyond a limit.
+    @in_world(random_ties=True, engines=0, plain=2, instances=4)
+    async def test_all_instances_together_keep_to_a_limit(self, world):
+        for app in world.apps[:2]:
+            world.cut_off(app, CutKind.RESET)
+        for runner in world.runners.values():
+            runner.limit_per_s = "2"
+        async with trio.open_nursery() as nursery:
+            for app in world.apps:
+                nursery.start_soon(served, world, app, "/safe/x", 300)
+        for runner in world.runners.values():
+            times = runner.requests_at
+            since = times[0] + 1.0
+            late = [at for at in times if at >= since]
+            assert len(late) >= 6
+            assert most_in_window(late) <= allowed_requests(2)
+
+
 class TestWhomToAsk:
     """Answers about one endpoint keep no instance from being asked for another."""
 
