An instance that leaves is asked to relay if there is no other

For the seconds of its drain i2 could have helped: it still reaches the endpoints, and refusing for certain is worse for callers than a stream that may have to move once more.

--- a/src/foxtailsaddle/forward/_endpoint_connector.py
+++ b/src/foxtailsaddle/forward/_endpoint_connector.py
@@ -229,14 +229,17 @@
         """Return the instances to ask: the last one that could help, then others.
 
         One of another data centre is among the first: all of this one's may be cut off.
+        Those that are about to stop are asked only if there are no others.
         """
         peers = [
             peer
             for peer in self._peers.live()
             if peer.control_address
-            and not (peer.leaving or peer.cut_off)
+            and not peer.cut_off
             and self._paused_until_by_peer.get(peer.id, 0.0) <= now
         ]
+        staying = [peer for peer in peers if not peer.leaving]
+        peers = staying or peers
         random.shuffle(peers)
         near = [peer for peer in peers if peer.data_centre == self._data_centre]
         far = [peer for peer in peers if peer.data_centre != self._data_centre]
--- a/src/foxtailsaddle/forward/_relay_server.py
+++ b/src/foxtailsaddle/forward/_relay_server.py
@@ -116,7 +116,7 @@
         if entry is None or entry.state is not EndpointState.READY:
             return STATUS_FORBIDDEN
         is_full = self.open_connections >= MAX_CONNECTIONS
-        if is_full or self._peers.leaving or self._fleet.paths.is_cut_off:
+        if is_full or self._fleet.paths.is_cut_off:
             return STATUS_BUSY
         logger.debug("relay: opened", extra={"peer": instance, "endpoint": entry.id})
         return None
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -362,6 +362,27 @@
         )
         assert await served(world, app, "/safe/x", 10) == 10
 
+    # Guards against refusals while an instance that leaves is the only one that could
+    # help (soak, seed 14001).
+    @in_world(engines=0, plain=2, instances=2)
+    async def test_an_instance_that_leaves_is_asked_if_there_is_no_other(self, world):
+        app, relay = world.apps
+        world.cut_off(app, CutKind.RESET)
+        relay.drain()
+        await eventually(lambda: all(peer.leaving for peer in app.peers.live()))
+        assert await served(world, app, "/safe/x", 5) == 5
+
+    @in_world(engines=0, plain=2, instances=3)
+    async def test_an_instance_that_leaves_is_not_asked_beside_another(self, world):
+        app, leaving, other = world.apps
+        world.cut_off(app, CutKind.RESET)
+        leaving.drain()
+        await eventually(lambda: any(peer.leaving for peer in app.peers.live()))
+        with recorded_logs() as logs:
+            assert await served(world, app, "/safe/x", 5) == 5
+        ended = logs.with_message("request: ended")
+        assert {record.relay for record in ended} == {other.fleet.instance}
+
     # Guards against an endpoint that stays down in memory while it is asked for.
     @in_world(engines=0, plain=2, instances=2)
     async def test_an_endpoint_that_was_down_and_is_back_behind_a_cut(self, world):
