--- a/soak/cut_promises.py
+++ b/soak/cut_promises.py
@@ -1,5 +1,6 @@
 """Checks that clients of instances that are cut off from all runners are served."""
 
+from .callers import RequestRecord
 from .promises import Evidence
 
 DETECTED_S = 3.0  # after the beginning of a cut
@@ -19,6 +20,8 @@
             if record.crashes or evidence.is_excused(record):
                 continue
             is_own = record.instance == cut.instance
+            if is_own and not _has_helper(evidence, record):
+                continue
             served = record.is_whole and record.status == 200
             (own if is_own else others).append(served)
         if min(len(own), len(others)) < MIN_SAMPLE:
@@ -29,3 +32,15 @@
                 f"{sum(own)} of {len(own)}, the others {sum(others)} of {len(others)}"
             )
     return violations
+
+
+def _has_helper(evidence: Evidence, record: RequestRecord) -> bool:
+    """Return whether another instance ran undisturbed while a request was served.
+
+    While all others are being killed or restarted, nobody could help.
+    """
+    others = {other.instance for other in evidence.history} - {record.instance}
+    return not all(
+        evidence.disruptions.overlap(other, record.at, record.ended_at)
+        for other in others
+    )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -204,6 +204,20 @@
             evidence.cuts = [cut]
             assert bool(broken_endpoint_promises(evidence)) is is_found
 
+    # Seed 14001: both other instances were being killed and restarted meanwhile.
+    def test_clients_whom_no_instance_could_help_are_not_missed(self):
+        own = [
+            make_request(at=4.0 + n / 10, status=503, instance="i1") for n in range(20)
+        ]
+        others = [make_request(id=f"i2{n}", at=4.0 + n / 10) for n in range(20)]
+        others = [dataclasses.replace(record, instance="i2") for record in others]
+        evidence = make_evidence([*own, *others], [])
+        evidence.cuts = [Cut("i1", 0.5, 9.0)]
+        assert broken_endpoint_promises(evidence)
+        evidence.disruptions.add("i2", 3.9, 5.0)
+        evidence.history += [dataclasses.replace(r, at=6.0 + r.at) for r in others]
+        assert broken_endpoint_promises(evidence) == []
+
 
 class TestLimitHistory:
     """Clients go by a raised limit once it is in force, by a lowered one soon."""
