An instance that could not relay is asked again if there is no other

The pause belongs to a process now, and only sets others first. test_the_only_other_instance_is_asked_again_at_once failed before (0 of 5), passes.

--- a/src/foxtailsaddle/forward/_endpoint_connector.py
+++ b/src/foxtailsaddle/forward/_endpoint_connector.py
@@ -34,7 +34,7 @@
 RELAY_TIMEOUT_S = 0.35  # of one instance that is asked
 MAX_RELAYS = 4  # instances asked for one connection
 RELAY_STAGGER_S = 0.07  # between the requests to two of them
-RELAY_PAUSE_S = 2.0  # for which an instance that did not connect isn't asked
+RELAY_PAUSE_S = 2.0  # for which others go before an instance that did not connect
 DOWN_S = 1.0  # for which an endpoint that others don't reach either isn't asked for
 PROBE_INTERVAL_S = 0.5  # between two tries of direct paths
 PROBE_TIMEOUT_S = 0.3
@@ -86,7 +86,7 @@
         self._is_doubt_checked = False
         self._last_relay = NO_INSTANCE
         self._down_until_by_address: dict[str, float] = {}
-        self._paused_until_by_peer: dict[str, float] = {}
+        self._paused_until_by_process: dict[int, float] = {}
 
     async def connect(self, address: str, timeout_s: float) -> Connection:
         """Connect to the endpoint at ``host:port``.
@@ -229,17 +229,16 @@
         """Return the instances to ask: the last one that could help, then others.
 
         One of another data centre is among the first: all of this one's may be cut off.
-        Those that are about to stop are asked only if there are no others.
+        Those that are about to stop, or could not help lately, are asked only if there
+        are no others.
         """
         peers = [
             peer
             for peer in self._peers.live()
-            if peer.control_address
-            and not peer.cut_off
-            and self._paused_until_by_peer.get(peer.id, 0.0) <= now
+            if peer.control_address and not peer.cut_off
         ]
-        staying = [peer for peer in peers if not peer.leaving]
-        peers = staying or peers
+        peers = [peer for peer in peers if not peer.leaving] or peers
+        peers = [peer for peer in peers if not self._is_paused(peer, now)] or peers
         random.shuffle(peers)
         near = [peer for peer in peers if peer.data_centre == self._data_centre]
         far = [peer for peer in peers if peer.data_centre != self._data_centre]
@@ -293,9 +292,18 @@
             concerns_endpoint=response.status_code == STATUS_FORBIDDEN,
         )
 
+    def _is_paused(self, peer: Peer, now: float) -> bool:
+        return self._paused_until_by_process.get(peer.incarnation, 0.0) > now
+
     def _pause(self, peer: Peer, reason: str) -> None:
-        """Ask an instance that could not help no more for a while."""
-        self._paused_until_by_peer[peer.id] = trio.current_time() + RELAY_PAUSE_S
+        """Ask others before an instance that could not help, for a while."""
+        now = trio.current_time()
+        self._paused_until_by_process = {
+            process: until
+            for process, until in self._paused_until_by_process.items()
+            if until > now
+        }
+        self._paused_until_by_process[peer.incarnation] = now + RELAY_PAUSE_S
         logger.info("paths: not relayed", extra={"peer": peer.id, "why": reason})
 
     def _error(self, address: str, race: _Race) -> NothingSentError:
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -9,6 +9,7 @@
 from foxtailsaddle.core import EndpointState
 from foxtailsaddle.errors import NothingSentError
 from foxtailsaddle.forward._fleet import fingerprint
+from foxtailsaddle.forward._relay_server import MAX_CONNECTIONS
 from standins.cuts import CutKind, present_cut
 from standins.front_world import ACCOUNT
 from standins.runner import Fault
@@ -372,6 +373,17 @@
         await eventually(lambda: all(peer.leaving for peer in app.peers.live()))
         assert await served(world, app, "/safe/x", 5) == 5
 
+    # Guards against refusals while the only other instance could help again (soak, seed
+    # 14001).
+    @in_world(engines=0, plain=2, instances=2)
+    async def test_the_only_other_instance_is_asked_again_at_once(self, world):
+        app, relay = world.apps
+        world.cut_off(app, CutKind.RESET)
+        relay.relay_server.open_connections = MAX_CONNECTIONS
+        assert await served(world, app, "/safe/x", 3) == 0
+        relay.relay_server.open_connections = 0
+        assert await served(world, app, "/safe/x", 5) == 5
+
     @in_world(engines=0, plain=2, instances=3)
     async def test_an_instance_that_leaves_is_not_asked_beside_another(self, world):
         app, leaving, other = world.apps
