--- a/standins/runner.py
+++ b/standins/runner.py
@@ -419,18 +419,17 @@
                 await trio.sleep(endless.pause_s)
 
     def _response_head(self, request: WireRequest, fault: Fault, status: int) -> bytes:
-        id = request.headers.get("x-request-id", "")
-        if fault is Fault.OTHER_ID:
-            id = "another-request"
+        request_id = request.headers.get("x-request-id", "")
+        id = "another-request" if fault is Fault.OTHER_ID else request_id
         lines = [
             f"HTTP/1.1 {status} whatever",
             f"X-Request-Id: {id}",
             f"X-Server-Seal: {self.id}.{len(self.runs)}",
         ]
         if self.is_leaving:
-            self.observe(RunnerEvent.SAID_LEAVING, id)
+            self.observe(RunnerEvent.SAID_LEAVING, request_id)
         if self.limit_per_s:
-            self.observe(RunnerEvent.NAMED_LIMIT, id)
+            self.observe(RunnerEvent.NAMED_LIMIT, request_id)
         own_headers = self._own_headers(status)
         lines += [f"{name}: {value}" for name, value in own_headers.items()]
         return "\r\n".join(lines).encode() + b"\r\n"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,8 @@
 from soak.limits import LimitHistory
 from soak.promises import Evidence, broken_promises
 from soak.runner_events import RunnerEventRecord
-from standins.runner import RunnerEvent
+from standins.runner import Fault, RunnerEvent
+from tests.loopback_world import in_world
 
 SEED = 101
 SECONDS = 6
@@ -219,6 +220,22 @@
         assert broken_endpoint_promises(evidence) == []
 
 
+class TestRunnerEvents:
+    # Seed 16048: the check looked for a request that nobody had sent.
+    @in_world(engines=0, plain=1)
+    async def test_an_answer_to_another_request_names_the_one_that_came(self, world):
+        runner = world.runners["p0"]
+        runner.fault = Fault.OTHER_ID
+        runner.is_leaving, runner.limit_per_s = True, "50"
+        events = []
+        runner.observe = lambda kind, request: events.append((kind, request))
+        await world.ask(world.apps[0], "/unsafe/x")
+        ids = {request for _, request in events}
+        kinds = {kind for kind, _ in events}
+        assert {RunnerEvent.SAID_LEAVING, RunnerEvent.NAMED_LIMIT} <= kinds
+        assert ids == {run.id for run in runner.runs}
+
+
 class TestLimitHistory:
     """Clients go by a raised limit once it is in force, by a lowered one soon."""
 
