--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,69 +1,47 @@
-"""An unreadable entry in the list of runners, and all processes are killed later."""
+"""A foreign entry with a host name that can't be encoded, and a runner crashes."""
 
 import asyncio
 import contextlib
 import pathlib
-import signal
-import time
 
 from ..common.case import has_trouble, run_case
-from ..common.fleet import LOOPBACK, TOUCH_S, Client, Fleet, configuration
+from ..common.fleet import LOOPBACK, TOUCH_S, Fleet, Instance, configuration
+from ..common.kept import KeptClient
 from ..common.record import Record
 from ..common.runner import Runner
 from ..common.store import Store
 
-RUNNERS = 3
 INSTANCES = 3
-FOREIGN_KEY = "foreign-1"
-FOREIGN_ENTRY = b"[" * 4096  # can't be read as JSON: no bracket is closed
-REQUEST_INTERVAL_S = 0.1
-BEFORE_S = 8.0
-DOWN_S = 0.6
-RECOVERY_S = 12.0
-MEASURED_S = 10.0
-MIN_SHARE = 0.25
-
-
-class Traffic:
-    """Steady requests to all instances, and how many of them were served."""
-
-    def __init__(self, client: Client, fleet: Fleet) -> None:
-        self._client = client
-        self._fleet = fleet
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._results: list[tuple[float, bool]] = []
-
-    async def run(self) -> None:
-        """Send requests until cancelled."""
-        number = 0
-        while True:
-            number += 1
-            task = asyncio.create_task(self._ask(number))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(REQUEST_INTERVAL_S)
-
-    async def _ask(self, number: int) -> None:
-        instance = self._fleet.instances[number % len(self._fleet.instances)]
-        sent_at = time.monotonic()
-        reply = await self._client.ask(instance, f"/lookup/{number}")
-        is_served = reply.status == 200 and "x-server-seal" in reply.headers
-        self._results.append((sent_at, is_served))
-
-    def share(self, from_at: float, to_at: float) -> float:
-        """Return the share that was served of the requests sent in a time."""
-        results = [ok for sent_at, ok in self._results if from_at <= sent_at < to_at]
-        return sum(results) / max(1, len(results))
-
-
-async def kill_all(fleet: Fleet) -> None:
-    """Kill all instances at once and start them again, as the platform does."""
-    for instance in fleet.instances:
-        fleet.signal(instance, signal.SIGKILL)
-    for instance in fleet.instances:
+RUNNERS = 6
+CLIENTS = 36
+WORK_S = 0.2
+DOWN_S = 4.5
+RESTART_DELAY_S = 0.5
+FOREIGN_KEY = "archive-1"
+# The other writer names its processes by a digest of 64 characters.
+FOREIGN_HOST = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+FOREIGN_ENTRY = {
+    "service": "archive",
+    "address": f"{FOREIGN_HOST}:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 1,
+    "born": 1_700_000_000_000,
+}
+SETTLE_S = 3.0
+WATCHED_S = 15.0
+MAX_CLOSED = 3
+
+
+async def keep_up(fleet: Fleet, instance: Instance, ends: list[str]) -> None:
+    """Start an instance again whenever its process has ended by itself."""
+    while True:
         await fleet.wait_ended(instance)
-    await asyncio.sleep(DOWN_S)
-    for instance in fleet.instances:
+        ends.append(instance.name)
+        await asyncio.sleep(RESTART_DELAY_S)
         fleet.start(instance)
 
 
@@ -72,41 +50,77 @@
     store = Store(f"{LOOPBACK}.1.1")
     await store.start()
     store.put("op", "config", configuration())
-    for number in range(RUNNERS):
-        host = f"{LOOPBACK}.2.{number + 1}"
-        await Runner(f"p{number}", "plain", host, store, record).start()
+    runners = [
+        Runner(
+            f"p{number}",
+            "plain",
+            f"{LOOPBACK}.2.{number + 1}",
+            store,
+            record,
+            work_s=WORK_S,
+            down_s=DOWN_S,
+        )
+        for number in range(RUNNERS)
+    ]
+    for runner in runners:
+        await runner.start()
     fleet = Fleet(folder, store.address, INSTANCES, record)
+    ends: list[str] = []
+    tasks: list[asyncio.Task[None]] = []
     try:
         await fleet.start_all()
-        return await play(record, fleet, store)
+        tasks += [
+            asyncio.create_task(KeptClient(number, fleet, record).run())
+            for number in range(CLIENTS)
+        ]
+        await asyncio.sleep(TOUCH_S + SETTLE_S)
+        tasks += [
+            asyncio.create_task(keep_up(fleet, instance, ends))
+            for instance in fleet.instances
+        ]
+        if has_trouble():
+            store.put("servers", FOREIGN_KEY, FOREIGN_ENTRY)
+            record.write("foreign entry written")
+        await asyncio.sleep(SETTLE_S)
+        crashed = runners[0].id
+        runners[0].crash("")
+        await asyncio.sleep(WATCHED_S)
+        return judge(record, crashed, ends)
     finally:
+        for task in tasks:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        keep_logs(record, fleet)
         fleet.end_all()
 
 
-async def play(record: Record, fleet: Fleet, store: Store) -> bool:
-    """Write the entry, kill all instances, and compare what is served."""
-    traffic = Traffic(Client(record), fleet)
-    sending = asyncio.create_task(traffic.run())
-    try:
-        await asyncio.sleep(TOUCH_S)
-        began_at = time.monotonic()
-        if has_trouble():
-            store.put("servers", FOREIGN_KEY, FOREIGN_ENTRY)
-            record.write("foreign entry written", bytes=len(FOREIGN_ENTRY))
-        await asyncio.sleep(BEFORE_S)
-        fault_at = time.monotonic()
-        await kill_all(fleet)
-        back_at = time.monotonic()
-        await asyncio.sleep(RECOVERY_S + MEASURED_S)
-    finally:
-        sending.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await sending
-    before = traffic.share(began_at, fault_at)
-    # The last requests may still be under way.
-    after = traffic.share(back_at + RECOVERY_S, back_at + RECOVERY_S + MEASURED_S - 3)
-    record.write("judged", served_before=before, served_after_recovery_s=after)
-    return before < MIN_SHARE or after >= MIN_SHARE
+def judge(record: Record, crashed: str, ends: list[str]) -> bool:
+    """Count the requests of kept connections that were lost at sound runners."""
+    events = record.events()
+    ran_at_sound = {
+        event["id"]
+        for event in events
+        if event["event"] == "run" and event["runner"] != crashed
+    }
+    kept = {event["id"] for event in events if event.get("kept")}
+    closed = [
+        event["id"]
+        for event in events
+        if event["event"] == "closed without an answer"
+        and event["id"] in ran_at_sound & kept
+    ]
+    record.write("judged", ended_by_themselves=ends, closed=len(closed))
+    return len(closed) <= MAX_CLOSED
+
+
+def keep_logs(record: Record, fleet: Fleet) -> None:
+    """Write the last words of processes that ended by themselves."""
+    for instance in fleet.instances:
+        lines = instance.log.read_text(encoding="utf-8").splitlines()
+        words = [line for line in lines if "UnicodeError" in line]
+        if words:
+            record.write("log", instance=instance.name, last=words[-1])
 
 
 run_case(pathlib.Path(__file__).resolve().parent, body)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A request that crashes runners comes again after the instances were restarted."""
+"""An unreadable entry in the list of runners, and all processes are killed later."""
 
 import asyncio
 import contextlib
@@ -7,68 +7,66 @@
 import time
 
 from ..common.case import has_trouble, run_case
-from ..common.fleet import LOOPBACK, TOUCH_S, Client, Fleet, Instance, configuration
+from ..common.fleet import LOOPBACK, TOUCH_S, Client, Fleet, configuration
 from ..common.record import Record
 from ..common.runner import Runner
 from ..common.store import Store
 
-CRASHING_BODY = b"the request that crashes its runner"
-CRASHING_PATH = "/lookup/crash"
-RUNNERS = 8
+RUNNERS = 3
 INSTANCES = 3
-CRASHES_BEFORE = 3
-MAX_RETRIES = 3  # after the third crash, by the rule
-REPEAT_S = 1.0  # between two attempts of the client
-ALL_KNOW_S = TOUCH_S + 1.0  # after the third crash
-LAST_S = 6.0
-RESTART_DELAY_S = 0.5
+FOREIGN_KEY = "foreign-1"
+FOREIGN_ENTRY = b"[" * 4096  # can't be read as JSON: no bracket is closed
+REQUEST_INTERVAL_S = 0.1
+BEFORE_S = 8.0
+DOWN_S = 0.6
+RECOVERY_S = 12.0
+MEASURED_S = 10.0
+MIN_SHARE = 0.25
 
 
-class CrashingRequests:
-    """The client attempts with the request that crashes its runners."""
+class Traffic:
+    """Steady requests to all instances, and how many of them were served."""
 
-    def __init__(self, client: Client, fleet: Fleet, record: Record) -> None:
+    def __init__(self, client: Client, fleet: Fleet) -> None:
         self._client = client
         self._fleet = fleet
-        self._record = record
-        self._next = 0
-        self.arrivals: list[tuple[float, str]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._results: list[tuple[float, bool]] = []
 
-    async def repeat(self) -> None:
-        """Send the request again and again, to any instance that is in touch."""
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        number = 0
         while True:
-            instances = [item for item in self._fleet.instances if item.is_in_touch]
-            if instances:
-                self._next += 1
-                instance = instances[self._next % len(instances)]
-                await self._client.ask(
-                    instance, CRASHING_PATH, CRASHING_BODY, what="crashing request"
-                )
-            await asyncio.sleep(REPEAT_S)
-
-
-class CountingRunner(Runner):
-    """A runner that reports each crash and the request behind it."""
-
-    def __init__(self, *args: object, requests: CrashingRequests, **options) -> None:
-        super().__init__(*args, **options)
-        self._requests = requests
-
-    def crash(self, request_id: str) -> None:
-        """Count the crash, and end the process."""
-        self._requests.arrivals.append((time.monotonic(), request_id))
-        super().crash(request_id)
-
-
-async def restart(fleet: Fleet, instance: Instance) -> None:
-    """Stop an instance as planned and start it again."""
-    fleet.signal(instance, signal.SIGTERM)
-    await fleet.wait_ended(instance)
-    await asyncio.sleep(RESTART_DELAY_S)
-    fleet.start(instance)
-    await fleet.wait_ready(instance)
-    while not instance.is_in_touch:
-        await asyncio.sleep(0.1)
+            number += 1
+            task = asyncio.create_task(self._ask(number))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+
+    async def _ask(self, number: int) -> None:
+        instance = self._fleet.instances[number % len(self._fleet.instances)]
+        sent_at = time.monotonic()
+        reply = await self._client.ask(instance, f"/lookup/{number}")
+        is_served = reply.status == 200 and "x-server-seal" in reply.headers
+        self._results.append((sent_at, is_served))
+
+    def share(self, from_at: float, to_at: float) -> float:
+        """Return the share that was served of the requests sent in a time."""
+        results = [ok for sent_at, ok in self._results if from_at <= sent_at < to_at]
+        return sum(results) / max(1, len(results))
+
+
+async def kill_all(fleet: Fleet) -> None:
+    """Kill all instances at once and start them again, as the platform does."""
+    for instance in fleet.instances:
+        fleet.signal(instance, signal.SIGKILL)
+    for instance in fleet.instances:
+        await fleet.wait_ended(instance)
+    await asyncio.sleep(DOWN_S)
+    for instance in fleet.instances:
+        fleet.start(instance)
+    for instance in fleet.instances:
+        await fleet.wait_ready(instance)
 
 
 async def body(record: Record, folder: pathlib.Path) -> bool:
@@ -76,55 +74,41 @@
     store = Store(f"{LOOPBACK}.1.1")
     await store.start()
     store.put("op", "config", configuration())
-    fleet = Fleet(folder, store.address, INSTANCES, record)
-    client = Client(record)
-    requests = CrashingRequests(client, fleet, record)
     for number in range(RUNNERS):
-        runner = CountingRunner(
-            f"p{number}",
-            "plain",
-            f"{LOOPBACK}.2.{number + 1}",
-            store,
-            record,
-            crashing_body=CRASHING_BODY,
-            requests=requests,
-        )
-        await runner.start()
+        host = f"{LOOPBACK}.2.{number + 1}"
+        await Runner(f"p{number}", "plain", host, store, record).start()
+    fleet = Fleet(folder, store.address, INSTANCES, record)
     try:
         await fleet.start_all()
-        await asyncio.sleep(TOUCH_S + 0.5)
-        return await play(record, fleet, requests)
+        return await play(record, fleet, store)
     finally:
         fleet.end_all()
 
 
-async def play(record: Record, fleet: Fleet, requests: CrashingRequests) -> bool:
-    """Send the request throughout, and restart the instances in turn."""
-    repeating = asyncio.create_task(requests.repeat())
+async def play(record: Record, fleet: Fleet, store: Store) -> bool:
+    """Write the entry, kill all instances, and compare what is served."""
+    traffic = Traffic(Client(record), fleet)
+    sending = asyncio.create_task(traffic.run())
     try:
-        while len(requests.arrivals) < CRASHES_BEFORE:
-            await asyncio.sleep(0.05)
-        third_at, _ = requests.arrivals[CRASHES_BEFORE - 1]
-        await asyncio.sleep(third_at + ALL_KNOW_S - time.monotonic())
-        for instance in fleet.instances:
-            if has_trouble():
-                await restart(fleet, instance)
-            await asyncio.sleep(LAST_S)
+        await asyncio.sleep(TOUCH_S)
+        began_at = time.monotonic()
+        if has_trouble():
+            store.put("servers", FOREIGN_KEY, FOREIGN_ENTRY)
+            record.write("foreign entry written", bytes=len(FOREIGN_ENTRY))
+        await asyncio.sleep(BEFORE_S)
+        fault_at = time.monotonic()
+        await kill_all(fleet)
+        back_at = time.monotonic()
+        await asyncio.sleep(RECOVERY_S + MEASURED_S)
     finally:
-        repeating.cancel()
+        sending.cancel()
         with contextlib.suppress(asyncio.CancelledError):
-            await repeating
-    late = [id for at, id in requests.arrivals if at > third_at + TOUCH_S]
-    late_attempts = len(set(late))
-    record.write(
-        "judged",
-        third_crash_at=round(third_at - record.began_at, 3),
-        arrivals=len(requests.arrivals),
-        arrivals_later_than_touch_ms_after_the_third=len(late),
-        client_attempts_with_such_an_arrival=late_attempts,
-        allowed=MAX_RETRIES,
-    )
-    return late_attempts <= MAX_RETRIES
+            await sending
+    before = traffic.share(began_at, fault_at)
+    # The last requests may still be under way.
+    after = traffic.share(back_at + RECOVERY_S, back_at + RECOVERY_S + MEASURED_S - 3)
+    record.write("judged", served_before=before, served_after_recovery_s=after)
+    return before < MIN_SHARE or after >= MIN_SHARE
 
 
 run_case(pathlib.Path(__file__).resolve().parent, body)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -18,6 +18,7 @@
 HOST = "calls.example"
 KEY = "key-1"
 TOUCH_S = 3.0
+TOUCH_MARGIN_S = 0.5
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
 # Loopback prefix that depends on the process, so that cases can run side by side.
@@ -204,7 +205,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
-        instance.in_touch_from = time.monotonic() + TOUCH_S
+        instance.in_touch_from = time.monotonic() + TOUCH_S + TOUCH_MARGIN_S
         self._record.write("instance started", instance=instance.name)
 
     def signal(self, instance: Instance, number: signal.Signals) -> None:
