--- a/src/foxtailsaddle/adapters/_http_client.py
+++ b/src/foxtailsaddle/adapters/_http_client.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import typing as t
+import urllib.parse
 
 import httpcore
 import trio
@@ -78,6 +79,7 @@
     @contextlib.asynccontextmanager
     async def exchange(self, request: HttpRequest) -> t.AsyncIterator[HttpcoreResponse]:
         """Send a request and return its response as a context manager."""
+        _check_url(request.url)
         with trio.move_on_after(request.total_timeout_s) as scope:
             async with self._stream(request, scope) as response:
                 yield HttpcoreResponse(response, request.url)
@@ -109,6 +111,21 @@
         await self._single_use_pool.aclose()
 
 
+def _check_url(url: str) -> None:
+    """Check that a URL names an address; httpcore's errors for others are of any type.
+
+    :raises NothingSentError: its host can't be encoded, or its port is out of range.
+    """
+    try:
+        parts = urllib.parse.urlsplit(url)
+        (parts.hostname or "").encode("idna")
+        is_usable = parts.port != 0
+    except ValueError as error:
+        raise NothingSentError(f'"{url:.200}" names no address: {error}') from error
+    if not is_usable:
+        raise NothingSentError(f'"{url:.200}" names no port')
+
+
 class _HeadTimeout:
     """Lets a response's head take only so long; httpcore bounds each read of it.
 
--- a/src/foxtailsaddle/core/__init__.py
+++ b/src/foxtailsaddle/core/__init__.py
@@ -4,6 +4,9 @@
 
 _MODULE_BY_NAME = {
     "Account": "._settings",
+    "Address": "._addresses",
+    "parse_address": "._addresses",
+    "parse_host": "._addresses",
     "AccountId": "._ids",
     "Allowance": "._limits",
     "AttemptId": "._ids",
--- a/src/foxtailsaddle/errors.py
+++ b/src/foxtailsaddle/errors.py
@@ -30,6 +30,12 @@
         self.verdict = verdict
 
 
+class UnreadableInputError(FoxtailsaddleError, ValueError):
+    """Data that another program wrote can't be read, or can't be used."""
+
+    code = "input_unreadable"
+
+
 class SettingsError(FoxtailsaddleError):
     """A settings file or a change is invalid; names the path and the reason."""
 
--- a/src/foxtailsaddle/forward/attempts/_crash_detector.py
+++ b/src/foxtailsaddle/forward/attempts/_crash_detector.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from ..._tasks import log_unexpected
 from ...core import (
     AttemptOutcome,
     CrashEvidence,
@@ -141,7 +142,7 @@
             return None
         suspicion = _Suspicion(endpoint, now, connection_lost=False)
         self._open.append(suspicion)
-        self._nursery.start_soon(self._investigate, suspicion)
+        self._nursery.start_soon(log_unexpected, self._investigate, suspicion)
         return suspicion
 
     async def _investigate(self, suspicion: _Suspicion) -> None:
@@ -233,7 +234,7 @@
             now - crash.broken_at,
         )
         self._fleet.record_death(death, now)
-        self._nursery.start_soon(self._announcer.announce_later)
+        self._nursery.start_soon(log_unexpected, self._announcer.announce_later)
         deaths = self._fleet.crash_guard.deaths(context.fingerprint, now)
         logger.warning(
             "crashes: endpoint died under a request",
--- a/src/foxtailsaddle/forward/connections/_internal_pages.py
+++ b/src/foxtailsaddle/forward/connections/_internal_pages.py
@@ -68,6 +68,9 @@
                 idle.deadline = trio.current_time() + IDLE_TIMEOUT_S
     except (OSError, h11.ProtocolError) as error:
         logger.debug("control: connection ended", extra={"why": str(error)})
+    except Exception:
+        # It would end the listener, and with it the process.
+        logger.exception("control: unexpected error")
     finally:
         sock.close()
 
--- a/src/foxtailsaddle/forward/streams/_reports.py
+++ b/src/foxtailsaddle/forward/streams/_reports.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from ..._tasks import log_unexpected
 from ...core import AttemptOutcome, InstanceId, ListedEndpoint, split_keys
 from ...errors import FoxtailsaddleError, NothingSentError
 from ...ports import EngineControl
@@ -57,7 +58,7 @@
             unlimited = [e for e in available if limit_of(e, now) is None]
             async with trio.open_nursery() as nursery:
                 for entry in unlimited:
-                    nursery.start_soon(self._poll, entry)
+                    nursery.start_soon(log_unexpected, self._poll, entry)
 
     def _owned_engines(self) -> list[ListedEndpoint]:
         table = self._fleet.route_table
--- a/src/foxtailsaddle/forward/streams/_reservations.py
+++ b/src/foxtailsaddle/forward/streams/_reservations.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from ..._tasks import log_unexpected
 from ...core import EndpointId, Job
 from ...errors import FoxtailsaddleError, NothingSentError
 from ...ports import EngineControl
@@ -82,7 +83,7 @@
                     yield reservation.helper_reservations()
                     renewing.cancel_scope.cancel()
         finally:
-            self._nursery.start_soon(reservation.release)
+            self._nursery.start_soon(log_unexpected, reservation.release)
 
     def _addresses(self, job: Job) -> dict[EndpointId, str]:
         addresses = {}
--- a/src/foxtailsaddle/forward/transport/_sockets.py
+++ b/src/foxtailsaddle/forward/transport/_sockets.py
@@ -6,7 +6,8 @@
 
 import trio
 
-from ...errors import AddressInUseError, NothingSentError
+from ...core import parse_address
+from ...errors import AddressInUseError, NothingSentError, UnreadableInputError
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -72,14 +73,18 @@
 async def connect(address: str, timeout_s: float) -> trio.socket.SocketType:
     """Connect to ``host:port``.
 
-    :raises NothingSentError: no connection within ``timeout_s``, or it was refused.
+    :raises NothingSentError: no connection within ``timeout_s``, or it was refused, or
+        the address can't be used.
     """
-    host, _, port = address.rpartition(":")
+    try:
+        host_and_port = parse_address(address)
+    except UnreadableInputError as error:
+        raise NothingSentError(error.message) from error
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         set_tcp_options(sock)
         with trio.move_on_after(timeout_s):
-            await sock.connect((host, int(port)))
+            await sock.connect(host_and_port)
             return sock
     except OSError as error:
         sock.close()
--- a/src/foxtailsaddle/platform/_endpoint_entries.py
+++ b/src/foxtailsaddle/platform/_endpoint_entries.py
@@ -9,6 +9,7 @@
     EndpointState,
     ListedEndpoint,
     ServiceId,
+    parse_address,
 )
 
 
@@ -41,9 +42,7 @@
 
 
 def _host_and_port(value: t.Any) -> str:
-    host, _, port = _non_empty_string(value).rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"not an address of the form host:port: {value!r}")
+    parse_address(_non_empty_string(value))
     return value
 
 
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,143 @@
+"""Tests for entries of other writers in the list of endpoints."""
+
+import math
+
+import pytest
+import trio
+
+from foxtailsaddle.adapters import HttpcoreClient
+from foxtailsaddle.errors import NothingSentError
+from foxtailsaddle.forward.transport import connect
+from foxtailsaddle.ports import HttpRequest
+from standins.cuts import CutKind
+from standins.runner import Fault
+from tests.log_records import recorded_logs
+from tests.loopback_world import in_world
+
+# A host name whose label is longer than a name may be.
+LONG_LABEL = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+UNUSABLE_ADDRESSES = [
+    f"{LONG_LABEL}:8080",
+    "a..b:8080",
+    "archive:8080",
+    "10.0.0.1:70000",
+    "10.0.0.1:0",
+    "10.0.0.1:" + "9" * 5000,
+    "10.0.0.1:\u0663\u0663\u0663",
+    "10.0.0.1:+80",
+    "10.0.0.1: 80",
+    "10.0.0.300:80",
+    "0.0.0.0:80",
+    "224.0.0.1:80",
+    "[::1]:80",
+    "10.0.0.1\x00:80",
+    "10.0.0.1",
+]
+
+
+def foreign_entry(**changes):
+    """Return an entry of another writer, of a service that no configuration names."""
+    return {
+        "service": "archive",
+        "address": f"{LONG_LABEL}:8080",
+        "zone": "a",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+        "born": 1_700_000_000_000,
+    } | changes
+
+
+class TestUnusableAddress:
+    """An address that nothing can be sent to is one more endpoint out of reach."""
+
+    # Guards against an error of another type for each kind of address, which its
+    # callers don't expect (review case 1, LOST).
+    @pytest.mark.parametrize("address", UNUSABLE_ADDRESSES)
+    def test_connecting_fails_like_to_any_other_endpoint_out_of_reach(self, address):
+        with pytest.raises(NothingSentError):
+            trio.run(connect, address, 0.2)
+
+    # Guards against the end of all instances when they look for a path to an endpoint
+    # beside such an entry (review case 1, LOST).
+    @in_world(engines=0, plain=3, instances=3)
+    async def test_no_instance_ends_when_another_endpoint_is_out_of_reach(self, world):
+        for number in range(3):
+            world.rows.put("servers", f"archive-{number}", foreign_entry())
+        await trio.sleep(1.0)
+        for app in world.apps:
+            world.cut_off(app, CutKind.RESET, [world.runners["p0"]])
+        for _ in range(10):
+            for app in world.apps:
+                assert (await world.ask(app, "/safe/x")).status == 200
+
+
+class TestUnusableUrl:
+    """The same at the product's own front door, whose settings name URLs."""
+
+    # Guards against an error that ends the polls of all endpoints because of one.
+    @pytest.mark.parametrize(
+        "address",
+        ["127.0.0.1:70000", "127.0.0.1:0", "127.0.0.1:" + "9" * 5000, "..:80"],
+    )
+    @pytest.mark.parametrize("new_connection", [False, True])
+    def test_an_address_that_can_not_be_used_is_out_of_reach(
+        self, address, new_connection
+    ):
+        async def ask():
+            request = HttpRequest(
+                "GET", f"http://{address}/load", new_connection=new_connection
+            )
+            async with HttpcoreClient().exchange(request):
+                pass
+
+        with pytest.raises(NothingSentError):
+            trio.run(ask)
+
+
+class TestInternalConnections:
+    """An error on one connection between instances ends that connection only."""
+
+    # Guards against any other error of that kind: the page itself is at fault here.
+    @in_world(engines=0, plain=1, instances=1)
+    async def test_an_unexpected_error_ends_the_connection_only(self, world):
+        app = world.apps[0]
+
+        def broken_count():
+            raise ZeroDivisionError
+
+        app.peers.count_live_instances = broken_count
+        with recorded_logs() as logs:
+            await self.ask_metrics(app)
+            await self.ask_metrics(app)
+            assert logs.with_message("control: unexpected error")
+        assert (await world.ask(app, "/safe/x")).status == 200
+
+    @staticmethod
+    async def ask_metrics(app):
+        """Ask for a page, and wait until the connection has ended."""
+        settings = app.env.settings
+        stream = await trio.open_tcp_stream(settings.host, settings.metrics_port)
+        async with stream:
+            await stream.send_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+            with trio.fail_after(2):
+                assert await stream.receive_some() == b""
+
+
+class TestBackgroundTasks:
+    """An error in a check that runs beside the requests ends this check only."""
+
+    # Guards against the end of the process by an error while a crash is looked into.
+    @in_world(engines=0, plain=2, instances=1)
+    async def test_an_unexpected_error_in_a_check_is_logged(self, world):
+        app = world.apps[0]
+        app.fleet.paths.was_cut = lambda *_: math.nan / 0
+        world.runners["p0"].fault = Fault.RESET
+        with recorded_logs() as logs:
+            for _ in range(8):
+                assert (await world.ask(app, "/safe/x")).status == 200
+            await trio.sleep(1.5)
+            assert logs.with_message("tasks: unexpected error")
+        assert (await world.ask(app, "/safe/x")).status == 200
