--- a/src/foxtailsaddle/core/__init__.py
+++ b/src/foxtailsaddle/core/__init__.py
@@ -5,6 +5,7 @@
 _MODULE_BY_NAME = {
     "Account": "._settings",
     "Address": "._addresses",
+    "MAX_PORT": "._addresses",
     "parse_address": "._addresses",
     "parse_host": "._addresses",
     "AccountId": "._ids",
--- a/src/foxtailsaddle/forward/peers/_datagrams.py
+++ b/src/foxtailsaddle/forward/peers/_datagrams.py
@@ -4,6 +4,7 @@
 
 import capnp
 
+from ..._input_readers import reading
 from ...core import (
     AccountHash,
     AttemptOutcome,
@@ -64,10 +65,10 @@
 def decode(data: bytes) -> tuple[DatagramHeader, list[Update]]:
     """Decode a datagram.
 
-    :raises ValueError: the bytes are not a valid datagram.
+    :raises UnreadableInputError: the bytes are not a valid datagram.
     """
     header_end = HEADER_LENGTH_BYTES + int.from_bytes(data[:HEADER_LENGTH_BYTES], "big")
-    try:
+    with reading("datagram"):
         header = decode_header(data[HEADER_LENGTH_BYTES:header_end])
         packed_body = data[header_end:]
         if not packed_body:
@@ -75,8 +76,6 @@
         body = SCHEMA.Body.from_bytes_packed(packed_body)
         updates = [_decode_update(header.sender, item) for item in body.notes]
         return header, [update for update in updates if update is not None]
-    except (capnp.KjException, KeyError, ValueError) as error:
-        raise ValueError(f"datagram can't be read: {error}") from error
 
 
 def _decode_update(sender: InstanceId, item: t.Any) -> Update | None:
@@ -105,9 +104,9 @@
 def decode_snapshot(data: bytes) -> Snapshot:
     """Decode a snapshot.
 
-    :raises ValueError: the bytes are not a valid snapshot.
+    :raises UnreadableInputError: the bytes are not a valid snapshot.
     """
-    try:
+    with reading("snapshot"):
         reader = SCHEMA.Snapshot.from_bytes_packed(data)
         endpoint_rows = {item.key: bytes(item.value) for item in reader.endpoints}
         list_version = StoreVersion(reader.listEra, reader.listVersion)
@@ -117,8 +116,6 @@
             list_version,
             read_evacuated(reader),
         )
-    except (capnp.KjException, ValueError) as error:
-        raise ValueError(f"snapshot can't be read: {error}") from error
 
 
 def _write_placed(item: t.Any, update: JobPlaced) -> None:
--- a/src/foxtailsaddle/forward/store/_registration.py
+++ b/src/foxtailsaddle/forward/store/_registration.py
@@ -1,11 +1,13 @@
 """Keeps this instance's row in the store, and finds the other instances there."""
 
+import dataclasses
 import logging
 import typing as t
 
 import trio
 
-from ...core import InstanceId, StoreVersion
+from ..._input_readers import read_digits, read_optional
+from ...core import InstanceId, StoreVersion, parse_host
 from ...errors import FoxtailsaddleError
 from ...ports import Store, StoredRows
 
@@ -121,14 +123,28 @@
         """Report instances with a valid lease; return the keys of expired rows."""
         expired_keys = []
         for row in rows.rows:
-            host, _, renewed_ms = row.value.decode("latin-1").partition(" ")
             if row.key == self._instance:
                 continue
-            if (
-                not renewed_ms.isdecimal()
-                or rows.now_ms - int(renewed_ms) > INSTANCE_LEASE_MS
-            ):
+            lease = read_optional(_read_lease, row.value)
+            if lease is None or rows.now_ms - lease.renewed_ms > INSTANCE_LEASE_MS:
                 expired_keys.append(row.key)
             else:
-                self._on_found(InstanceId(row.key), host)
+                self._on_found(InstanceId(row.key), lease.host)
         return expired_keys
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Lease:
+    """The row of an instance.
+
+    :param host: its address.
+    :param renewed_ms: time of the last renewal, by the store's clock.
+    """
+
+    host: str
+    renewed_ms: int
+
+
+def _read_lease(value: bytes) -> _Lease:
+    host, _, renewed_ms = value.partition(b" ")
+    return _Lease(parse_host(host.decode()), read_digits(renewed_ms))
--- a/src/foxtailsaddle/forward/store/_sync.py
+++ b/src/foxtailsaddle/forward/store/_sync.py
@@ -1,5 +1,6 @@
 """Keeps the configuration and the list of endpoints in sync with the store."""
 
+import dataclasses
 import logging
 import random
 import typing as t
@@ -8,8 +9,6 @@
 
 from ...core import (
     EndpointId,
-    ListedEndpoint,
-    RetiredEndpoints,
     StoreVersion,
     is_first_reader,
     retry_pause_s,
@@ -23,6 +22,7 @@
 from ..peers import ListChanged, Peer, Peers, Snapshot, decode_snapshot
 from ..transport import KeepAliveHttpClient
 from ._configuration_sync import ConfigurationSync
+from ._list_rows import ListRowReader
 from ._registration import InstanceRegistration
 from ._table_follower import TableFollower
 
@@ -75,7 +75,7 @@
         self._new_store = new_store
         self._was_connected = False
         self._era: int | None = None
-        self._retired = RetiredEndpoints()
+        self.list_rows = ListRowReader(schema)
         self._list_behind_since: float | None = None
         self._started_at: float | None = None
         self._configuration = ConfigurationSync(
@@ -224,11 +224,12 @@
             self._replace_list(rows.rows, rows.version)
         is_sender = self._peers.reads_store and self._is_first_reader()
         for row in () if is_full else rows.rows:
+            is_usable = self._apply_list_row(row)
             if is_sender and row.version > self._peers.list_version:
+                sent_row = row if is_usable else _without_value(row)
                 self._peers.outbox.notify_list_changed(
-                    ListChanged(self._peers.list_version, row)
+                    ListChanged(self._peers.list_version, sent_row)
                 )
-            self._apply_list_row(row)
         known_versions = [
             row.version for row in rows.rows if row.version <= rows.version
         ]
@@ -257,22 +258,21 @@
         self._peers.list_version = change.row.version
         self.list_follower.version = max(self.list_follower.version, change.row.version)
 
-    def _apply_list_row(self, row: StoredRow) -> None:
+    def _apply_list_row(self, row: StoredRow) -> bool:
+        """Apply a row; return whether it names an endpoint to use."""
         now = trio.current_time()
         endpoint = EndpointId(row.key)
-        entry = None
-        if row.removed:
-            self._fleet.endpoint_rows.pop(row.key, None)
-        else:
-            self._fleet.endpoint_rows[row.key] = row.value
-            entry = self._decode_endpoint(row, is_restored=False)
+        entry = self.list_rows.read(row)
         previous = self._fleet.endpoints.get(endpoint)
         if entry is None:
+            self._fleet.endpoint_rows.pop(row.key, None)
             self._fleet.endpoints.remove(endpoint, now)
         else:
+            self._fleet.endpoint_rows[row.key] = row.value
             self._fleet.endpoints.put(entry)
             record_entry(self._fleet, entry, previous, now)
-        if previous is None or entry is None or previous.state is not entry.state:
+        previous_state = previous.state if previous else None
+        if previous_state is not (entry.state if entry else None):
             logger.info(
                 "list: changed",
                 extra={
@@ -283,6 +283,7 @@
                 },
             )
         self._forget_expired(now)
+        return entry is not None
 
     def _replace_list(self, rows: list[StoredRow], version: StoreVersion) -> None:
         """Replace the list by the rows of a full read.
@@ -290,9 +291,11 @@
         :param version: version of the list as a whole.
         """
         is_restored = version.era > self._peers.list_version.era
-        self._fleet.endpoint_rows = {row.key: row.value for row in rows}
-        decoded = [self._decode_endpoint(row, is_restored) for row in rows]
-        entries = [entry for entry in decoded if entry is not None]
+        entry_by_key = self.list_rows.read_all(rows, is_restored)
+        self._fleet.endpoint_rows = {
+            row.key: row.value for row in rows if row.key in entry_by_key
+        }
+        entries = list(entry_by_key.values())
         now = trio.current_time()
         known = {entry.id: entry for entry in self._fleet.endpoints.all()}
         self._fleet.endpoints.replace(entries, now)
@@ -310,17 +313,9 @@
             },
         )
 
-    def _decode_endpoint(
-        self, row: StoredRow, is_restored: bool
-    ) -> ListedEndpoint | None:
-        entry = self._schema.decode_endpoint(row.key, row.value)
-        if entry is None:
-            return None
-        return self._retired.correct(entry, row.version, is_restored)
-
     def _forget_expired(self, now: float) -> None:
         for endpoint in self._fleet.endpoints.expire(now):
-            self._retired.retire(endpoint)
+            self.list_rows.retire(endpoint)
             self._fleet.forget_endpoint(endpoint, now)
             logger.info("list: gone", extra={"endpoint": endpoint})
 
@@ -369,7 +364,7 @@
         try:
             reply = await client.call("GET", SNAPSHOT_PATH, None, SNAPSHOT_TIMEOUT_S)
             snapshot = decode_snapshot(reply.body)
-        except (FoxtailsaddleError, ValueError) as error:
+        except FoxtailsaddleError as error:
             logger.info(
                 "peers: snapshot not fetched",
                 extra={"peer": control_address, "why": str(error)},
@@ -401,3 +396,11 @@
         self._replace_list(rows, version)
         self._peers.list_version = version
         self.list_follower.request_full_read()
+
+
+def _without_value(row: StoredRow) -> StoredRow:
+    """Return a row that names no endpoint to use as one that was removed.
+
+    The others need its version; its value may be too long for a datagram.
+    """
+    return dataclasses.replace(row, value=b"", removed=True)
--- a/src/foxtailsaddle/forward/store/_table_follower.py
+++ b/src/foxtailsaddle/forward/store/_table_follower.py
@@ -90,6 +90,10 @@
                 self.version = None
             except FoxtailsaddleError as error:
                 await self._handle_failure(error)
+            except Exception:
+                # It must not end the other follower.
+                logger.exception("store: rows not applied")
+                await trio.sleep(self._retry_pause_s(MAX_RETRY_PAUSE_S))
 
     async def _read_next(self, wait_s: float) -> None:
         is_full = self.version is None
@@ -105,8 +109,9 @@
         self._handle_success()
         if self.version is None and not is_full:
             return  # a full read was requested meanwhile
-        self.version = rows.version
+        # Rows that could not be applied are read again.
         self._on_rows(rows, is_full)
+        self.version = rows.version
         await trio.sleep(self._pause_s if rows.rows else 0)
 
     def _handle_success(self) -> None:
--- a/src/foxtailsaddle/platform/_schema.py
+++ b/src/foxtailsaddle/platform/_schema.py
@@ -28,6 +28,9 @@
             name = key.removeprefix(prefix)
         return DataCentre(name) if name else None
 
-    def decode_endpoint(self, key: str, value: bytes) -> ListedEndpoint | None:
-        """Decode an entry of the endpoint list; ``None`` if it is malformed."""
+    def decode_endpoint(self, key: str, value: bytes) -> ListedEndpoint:
+        """Decode an entry of the endpoint list.
+
+        :raises UnreadableInputError: it names no endpoint to use.
+        """
         return decode_endpoint_entry(key, value)
--- a/src/foxtailsaddle/ports/_front.py
+++ b/src/foxtailsaddle/ports/_front.py
@@ -196,8 +196,11 @@
         ``None`` if the row is of another kind.
         """
 
-    def decode_endpoint(self, key: str, value: bytes) -> ListedEndpoint | None:
-        """Decode an entry of the endpoint list; ``None`` if it is malformed."""
+    def decode_endpoint(self, key: str, value: bytes) -> ListedEndpoint:
+        """Decode an entry of the endpoint list.
+
+        :raises UnreadableInputError: it names no endpoint to use.
+        """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,7 +10,11 @@
 import trio
 
 from foxtailsaddle.core import NO_NOTICE, EndpointNotice, EndpointState, RouteKind
-from foxtailsaddle.errors import ExchangeBrokenError, SettingsError
+from foxtailsaddle.errors import (
+    ExchangeBrokenError,
+    SettingsError,
+    UnreadableInputError,
+)
 from foxtailsaddle.platform import (
     HttpEngineControl,
     PlatformHeaderCodec,
@@ -154,7 +158,8 @@
     )
     def test_malformed_entries_are_ignored(self, change):
         value = json.dumps(self.ENTRY | change).encode()
-        assert PlatformSchema().decode_endpoint("i-1", value) is None
+        with pytest.raises(UnreadableInputError):
+            PlatformSchema().decode_endpoint("i-1", value)
 
 
 class TestHeaders:
