The same rule for configurations, reports, store answers, headers and settings files

What callers could see: a client's token count beyond 32 bits ended the exchange between instances for a second; an account name beyond Latin-1 closed the connections of its requests; SIGHUP beside a deeply nested settings file ended the process; one odd load report ended all polls, one odd row of an instance or a configuration the following of the store, each second again.

Change: each reader goes by the rule; numbers are finite and fit the messages between instances, names can be encoded, addresses can be used. A count that no engine can hold is lowered to the largest, a stale seed is left out, an account name is sent as UTF-8 where Latin-1 has no letters for it.

--- a/src/foxtailsaddle/_settings_fields.py
+++ b/src/foxtailsaddle/_settings_fields.py
@@ -2,7 +2,9 @@
 
 import typing as t
 
-from .errors import ProcessSettingsError
+from ._input_readers import read_int, read_number, read_optional
+from .core import MAX_PORT, parse_address
+from .errors import ProcessSettingsError, UnreadableInputError
 
 
 class SettingsFieldReader:
@@ -37,6 +39,11 @@
             raise self._error(path, f"not a list of strings: {value!r}")
         return value
 
+    def addresses(self, path: str) -> list[str]:
+        """Return the addresses in a list; those that can't be used are left out."""
+        values = self.strings(path)
+        return [value for value in values if read_optional(parse_address, value)]
+
     def optional_number(self, path: str) -> float | None:
         if self._lookup(path) is None:
             return None
@@ -46,23 +53,26 @@
         value = self._lookup(path)
         if value is None:
             return default
-        if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-            raise self._error(path, f"not a non-negative number: {value!r}")
-        return value
+        try:
+            return read_number(value)
+        except UnreadableInputError as error:
+            raise self._error(path, error.message) from None
 
     def address(self, path: str, default: str | None = None) -> str:
         if self._lookup(path) is None and default is not None:
             return default
         value = self.string(path)
-        host, _, port = value.rpartition(":")
-        if not host or not port.isdecimal():
-            raise self._error(path, f"not an address of the form host:port: {value!r}")
+        try:
+            parse_address(value)
+        except UnreadableInputError as error:
+            raise self._error(path, error.message) from None
         return value
 
     def first_port(self, path: str) -> int:
         value = self._lookup(path)
-        if not isinstance(value, list) or not value or not isinstance(value[0], int):
-            raise self._error(
-                path, f"not a port range of the form [first, last]: {value!r}"
-            )
-        return value[0]
+        if not isinstance(value, list) or not value:
+            raise self._error(path, "not a port range of the form [first, last]")
+        try:
+            return read_int(value[0], low=1, high=MAX_PORT)
+        except UnreadableInputError as error:
+            raise self._error(path, error.message) from None
--- a/src/foxtailsaddle/platform/_headers.py
+++ b/src/foxtailsaddle/platform/_headers.py
@@ -2,6 +2,13 @@
 
 import re
 
+from .._input_readers import (
+    MAX_TOKENS,
+    read_decimal,
+    read_digits,
+    read_optional,
+    read_signed_number,
+)
 from ..core import NO_NOTICE, AccountId, EndpointNotice, PromptPartId
 from ..ports import CallerRequest, Dispatch, Headers, PromptSize, ResponseHead
 from . import _names as names
@@ -34,7 +41,6 @@
     )
 )
 LOWEST_PRIORITY = 9
-DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 MAX_SHARED_PARTS = 64  # callers choose the parts; the first ones are kept
 MAX_PART_ID_CHARS = 32
 HEXADECIMAL = re.compile("[0-9a-fA-F]+")
@@ -124,9 +130,11 @@
     by_name = dict(headers)
     pause_s = 0.0
     if status == names.STATUS_SERVICE_UNAVAILABLE:
-        pause_s = _decimal(by_name.get(names.RETRY_AFTER, b"")) or 0.0
-    limit_per_s = _decimal(by_name.get(names.SERVER_LIMIT, b""))
-    cold_ms = _decimal(by_name.get(names.COLD_MS, b"")) or 0.0
+        pause_s = (
+            read_optional(read_decimal, by_name.get(names.RETRY_AFTER, b"")) or 0.0
+        )
+    limit_per_s = read_optional(read_decimal, by_name.get(names.SERVER_LIMIT, b""))
+    cold_ms = read_optional(read_decimal, by_name.get(names.COLD_MS, b"")) or 0.0
     return EndpointNotice(
         is_leaving=names.SERVER_LEAVING in by_name,
         pause_s=pause_s,
@@ -150,15 +158,8 @@
 
 def _seconds_from_ms(value: bytes | None) -> float | None:
     """Convert milliseconds to seconds; ``None`` if absent or not a number."""
-    try:
-        return max(0.0, float(value) / 1000) if value is not None else None
-    except ValueError:
-        return None
-
-
-def _decimal(value: bytes) -> float | None:
-    """Decode a decimal number that isn't negative; ``None`` if it is malformed."""
-    return float(value) if DECIMAL_NUMBER.fullmatch(value) else None
+    ms = read_optional(read_signed_number, value)
+    return max(0.0, ms / 1000) if ms is not None else None
 
 
 def _api_key(value: bytes | None) -> str | None:
@@ -173,13 +174,21 @@
 
 def _prompt_size(by_name: dict[bytes, bytes]) -> PromptSize | None:
     """Decode the token counts; ``None`` if they are absent or malformed."""
-    try:
-        prompt, max_output = by_name[names.TOKEN_COUNTS].split(b",")
-        hint = by_name.get(names.LENGTH_HINT)
-        likely = int(hint) if hint is not None else None
-        return PromptSize(int(prompt), int(max_output), likely)
-    except (KeyError, ValueError):
+    if names.TOKEN_COUNTS not in by_name:
         return None
+    counts, hint = by_name[names.TOKEN_COUNTS], by_name.get(names.LENGTH_HINT)
+    return read_optional(_read_prompt_size, counts, hint)
+
+
+def _read_prompt_size(counts: bytes, hint: bytes | None) -> PromptSize:
+    prompt, max_output = counts.split(b",")
+    likely = _tokens(hint) if hint is not None else None
+    return PromptSize(_tokens(prompt), _tokens(max_output), likely)
+
+
+def _tokens(value: bytes) -> int:
+    """Decode a number of tokens; one that no engine can hold may be made smaller."""
+    return min(MAX_TOKENS, read_digits(value.strip()))
 
 
 def _shared_parts(value: bytes) -> tuple[PromptPartId, ...]:
@@ -188,10 +197,7 @@
     :returns: each part once; none if any entry is malformed.
     """
     entries = value.decode("latin-1").split(",")
-    try:
-        parts = [_part_id(entry) for entry in entries]
-    except ValueError:
-        return ()
+    parts = read_optional(lambda: [_part_id(entry) for entry in entries]) or []
     return tuple(dict.fromkeys(parts[:-1]))[:MAX_SHARED_PARTS]
 
 
@@ -209,7 +215,10 @@
 
 
 def _account_header(account: AccountId) -> bytes:
-    return account.encode("latin-1")
+    try:
+        return account.encode("latin-1")
+    except UnicodeEncodeError:
+        return account.encode()
 
 
 def _helpers_header(helpers: tuple[tuple[str, str], ...]) -> bytes:
--- a/src/foxtailsaddle/platform/_orders.py
+++ b/src/foxtailsaddle/platform/_orders.py
@@ -3,6 +3,7 @@
 import json
 import typing as t
 
+from .._input_readers import read_count, read_json, read_number, reading
 from ..core import EndpointNotice
 from ..errors import ExchangeBrokenError
 from ..ports import EngineReport, HttpClientFactory, HttpReply
@@ -12,6 +13,8 @@
 ORDER_TIMEOUT_S = 0.6
 REPORT_TIMEOUT_S = 0.5
 STATUS_OK = 200
+MIN_SLOWDOWN = 1e-3  # others can only be mistakes, and times would not fit
+MAX_SLOWDOWN = 1e6
 
 
 class HttpEngineControl:
@@ -50,12 +53,8 @@
         reply = await self._call(
             address, "GET", names.REPORT_PATH, None, REPORT_TIMEOUT_S
         )
-        try:
-            return _decode_report(json.loads(reply.body))
-        except (KeyError, TypeError, ValueError) as error:
-            raise ExchangeBrokenError(
-                f'load report of engine "{address}" is malformed: {error!r}'
-            ) from error
+        with reading(f'load report of engine "{address}"', ExchangeBrokenError):
+            return _decode_report(read_json(reply.body))
 
     async def _send_order(self, address: str, order: dict[str, object]) -> HttpReply:
         body = json.dumps(order).encode()
@@ -82,8 +81,8 @@
 
 def _decode_report(fields: dict[str, t.Any]) -> EngineReport:
     return EngineReport(
-        slowdown=float(fields.get("pace", 1.0)),
-        queued=int(fields.get("queued", 0)),
-        running=int(fields.get("running", 0)),
-        kv_used_tokens=int(fields.get("kv_used", 0)),
+        slowdown=read_number(fields.get("pace", 1.0), MIN_SLOWDOWN, MAX_SLOWDOWN),
+        queued=read_count(fields.get("queued", 0)),
+        running=read_count(fields.get("running", 0)),
+        kv_used_tokens=read_count(fields.get("kv_used", 0)),
     )
--- a/src/foxtailsaddle/platform/_settings.py
+++ b/src/foxtailsaddle/platform/_settings.py
@@ -4,6 +4,7 @@
 import pathlib
 import tomllib
 
+from .._input_readers import reading
 from .._settings_fields import SettingsFieldReader
 from ..core import DataCentre, InstanceId
 from ..errors import ProcessSettingsError
@@ -79,13 +80,12 @@
 
     :raises ProcessSettingsError: names the field that is missing or wrong.
     """
-    try:
+    with reading(f'settings file "{path}"', ProcessSettingsError):
         fields = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        raise ProcessSettingsError(
-            f'settings file "{path}" can\'t be read: {error}'
-        ) from None
-    reader = SettingsFieldReader(path, fields)
+        return _process_settings(SettingsFieldReader(path, fields))
+
+
+def _process_settings(reader: SettingsFieldReader) -> ProcessSettings:
     return ProcessSettings(
         instance=InstanceId(reader.string("node_name")),
         data_centre=DataCentre(reader.string("zone")),
@@ -93,7 +93,7 @@
         front_address=reader.address("listen.front"),
         ready_address=reader.address("listen.ready"),
         control_address=reader.address("listen.control", default=""),
-        seed_addresses=tuple(reader.strings("seeds")),
+        seed_addresses=tuple(reader.addresses("seeds")),
         peer_port=reader.first_port("internal_port_range"),
         store_address=reader.address("platform.address"),
         shares_room=names.POOL_CONTRACT in reader.strings("contracts"),
--- a/src/foxtailsaddle/platform/_store.py
+++ b/src/foxtailsaddle/platform/_store.py
@@ -6,12 +6,14 @@
 import typing as t
 import urllib.parse
 
+from .._input_readers import read_count, read_digits, read_int, read_json, reading
 from ..core import StoreVersion
 from ..errors import (
     ExchangeBrokenError,
     HistoryGoneError,
     NothingSentError,
     PlatformUnavailableError,
+    UnreadableInputError,
     WriteOutcomeUnknownError,
 )
 from ..ports import HttpReply, PersistentHttpClient, StoredRow, StoredRows
@@ -20,6 +22,7 @@
 CALL_TIMEOUT_S = 2.0
 FEED_REPLY_MARGIN_S = 0.7
 STATUS_GONE = 410
+MAX_ERA = 2**32 - 1  # the messages between instances have 32 bits for it
 # A page of rows is far smaller; the changes since a version come in one response.
 MAX_STORE_RESPONSE_BYTES = 33_554_432
 
@@ -119,12 +122,8 @@
 def _decode_json(reply: HttpReply) -> dict[str, t.Any]:
     if reply.status != 200:
         raise PlatformUnavailableError(f"the store answered status {reply.status}")
-    try:
-        return json.loads(reply.body)
-    except ValueError as error:
-        raise PlatformUnavailableError(
-            f"the store's answer is not valid JSON: {error}"
-        ) from error
+    with reading("the store's answer", PlatformUnavailableError):
+        return read_json(reply.body)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,32 +146,29 @@
     """
     fields = _decode_json(reply)
     era = _decode_era(reply)
-    try:
-        return _Page(
+    with reading("malformed rows of the store", PlatformUnavailableError):
+        page = _Page(
             rows=[_decode_row(item, era) for item in fields.get("rows", ())],
-            version=StoreVersion(era, int(fields["ver"])),
-            now_ms=int(fields["now_ms"]),
+            version=StoreVersion(era, read_int(fields["ver"])),
+            now_ms=read_count(fields["now_ms"]),
             has_more=bool(fields.get("more_pages")),
         )
-    except (KeyError, TypeError, ValueError) as error:
-        raise PlatformUnavailableError(
-            f"the store's answer has malformed rows: {error!r}"
-        ) from error
+        if page.has_more and not page.rows:
+            raise UnreadableInputError("a page without rows is not the last")
+        return page
 
 
 def _decode_era(reply: HttpReply) -> int:
     """Return the era of the store; 0 if the reply does not name one."""
     value = dict(reply.headers).get(names.STORE_ERA, b"0")
-    try:
-        return int(value)
-    except ValueError as error:
-        raise PlatformUnavailableError(
-            f"the store's answer has a malformed era: {value!r}"
-        ) from error
+    with reading("era of the store", PlatformUnavailableError):
+        return read_digits(value, MAX_ERA)
 
 
 def _decode_row(item: dict[str, t.Any], era: int) -> StoredRow:
     removed = bool(item.get("removed"))
     value = b"" if removed else base64.b64decode(item["value"])
-    version = StoreVersion(era, int(item["ver"]))
-    return StoredRow(item["key"], value, version, removed)
+    version = StoreVersion(era, read_int(item["ver"]))
+    # JSON can escape what is no text; such a key must still fit into other messages.
+    key = item["key"].encode(errors="replace").decode()
+    return StoredRow(key, value, version, removed)
--- a/tests/test_unreadable_input.py
+++ b/tests/test_unreadable_input.py
@@ -5,22 +5,35 @@
 """
 
 import contextlib
+import dataclasses
+import functools
 import json
 import math
 
 import hypothesis
 import pytest
+import trio
 from hypothesis import strategies as st
 
 from foxtailsaddle._input_readers import MAX_NUMBER
 from foxtailsaddle.errors import (
+    ExchangeBrokenError,
+    PlatformUnavailableError,
+    SettingsError,
     UnreadableInputError,
 )
 from foxtailsaddle.platform import (
+    HttpEngineControl,
+    HttpStore,
+    PlatformHeaderCodec,
     PlatformSchema,
+    read_process_settings,
 )
+from foxtailsaddle.ports import HttpReply
+from standins.front_world import configuration
 from tests.log_records import recorded_logs
 from tests.loopback_world import eventually, in_world
+from tests.test_platform_adapter import SETTINGS, write
 
 NESTED = b"[" * 4096  # the parser of JSON gives up with an error of its own
 BALANCED = b"[" * 900 + b"]" * 900  # it is read, but can't be printed
@@ -143,3 +156,194 @@
         follower._on_rows = fail_once
         await world.add_runner("p9", "plain")
         await eventually(lambda: "p9" in app.fleet.endpoints, 5.0)
+
+
+class TestConfiguration:
+    @pytest.mark.parametrize("value", ODD_BYTES)
+    def test_odd_bytes_are_refused(self, value):
+        with pytest.raises(SettingsError):
+            PlatformSchema().decode_configuration(value)
+
+    @fuzzed
+    @hypothesis.given(
+        st.sampled_from(["routes", "services", "limits", "tenants", "version"]),
+        st.sampled_from([None, "name", "timeout_ms", "engine", "api_keys", "priority"]),
+        odd_json,
+    )
+    def test_any_value_is_used_or_refused(self, part, field, value):
+        fields = configuration()
+        if field is None or not isinstance(fields[part], list):
+            fields[part] = value
+        else:
+            fields[part][0][field] = value
+        with contextlib.suppress(SettingsError):
+            PlatformSchema().decode_configuration(json.dumps(fields).encode())
+
+    # Guards against a reader of the store that ends because of one row.
+    @in_world(engines=0, plain=1, instances=1)
+    async def test_the_former_one_stays_in_force_beside_an_odd_one(self, world):
+        app = world.apps[0]
+        for value in ODD_BYTES:
+            world.rows.put("op", "config", value)
+        world.rows.put("op", "evacuate/\ud800", b"{}")
+        await trio.sleep(0.5)
+        assert (await world.ask(app, "/safe/x")).status == 200
+        world.rows.put("op", "config", configuration(5))
+        await eventually(lambda: app.fleet.route_table.version == 5)
+
+    # Guards against requests without an answer of an account with such a name.
+    @in_world(engines=0, plain=1, instances=1)
+    async def test_an_account_may_have_a_name_of_any_script(self, world):
+        tenants = [{"name": "kārlis 株式会社", "api_keys": ["key-1"]}]
+        world.rows.put("op", "config", configuration(2, tenants=tenants))
+        await eventually(lambda: world.apps[0].fleet.route_table.version == 2)
+        assert (await world.ask(world.apps[0], "/safe/x")).status == 200
+
+
+class FixedHttpClient:
+    """A client whose calls all get the same body."""
+
+    def __init__(self, body, headers=()):
+        self._reply = HttpReply(200, body, list(headers))
+
+    async def call(self, *_):
+        return self._reply
+
+    async def aclose(self):
+        pass
+
+
+class TestResponses:
+    """Load reports of engines and answers of the store."""
+
+    @pytest.mark.parametrize(
+        "body", [b"", b"[]", b"7", NESTED, BALANCED, b'{"pace":0}']
+    )
+    def test_an_odd_load_report_is_no_report(self, body):
+        control = HttpEngineControl(lambda _: FixedHttpClient(body))
+        with pytest.raises(ExchangeBrokenError):
+            trio.run(control.report, "10.0.0.1:80")
+
+    @pytest.mark.parametrize("name", ["pace", "queued", "running", "kv_used"])
+    @pytest.mark.parametrize(
+        "value", [HUGE_INTEGER, math.nan, math.inf, -1, "x", []], ids=str_of_part
+    )
+    def test_an_odd_number_in_a_load_report_is_no_report(self, name, value):
+        body = json.dumps({name: value}).encode()
+        control = HttpEngineControl(lambda _: FixedHttpClient(body))
+        with pytest.raises(ExchangeBrokenError):
+            trio.run(control.report, "10.0.0.1:80")
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            *ODD_BYTES,
+            b'{"rows":[],"ver":1,"now_ms":1,"more_pages":true}',
+            b'{"rows":[{"key":5,"ver":1,"value":""}],"ver":1,"now_ms":1}',
+            b'{"rows":[],"ver":1e400,"now_ms":1}',
+            b'{"rows":[],"ver":1,"now_ms":NaN}',
+        ],
+    )
+    def test_an_odd_answer_of_the_store_is_none(self, body):
+        with pytest.raises(PlatformUnavailableError):
+            trio.run(HttpStore(FixedHttpClient(body)).read, "servers")
+
+    @pytest.mark.parametrize("era", [b"", b"x", b"-1", b"1" * 5000, b"4294967296"])
+    def test_an_odd_era_of_the_store_is_no_answer(self, era):
+        body = b'{"rows":[],"ver":1,"now_ms":1}'
+        client = FixedHttpClient(body, [(b"store-era", era)])
+        with pytest.raises(PlatformUnavailableError):
+            trio.run(HttpStore(client).read, "servers")
+
+
+class TestHeaders:
+    # Guards against numbers that no message between instances can hold.
+    def test_a_prompt_larger_than_any_engine_is_still_one(self):
+        headers = [(b"x-token-usage", b"9999999999999,1")]
+        size = PlatformHeaderCodec().read_request(headers).prompt_size
+        assert size.prompt_tokens == 2**31 - 1
+
+    @pytest.mark.parametrize(
+        "value", [b"-1,5", b"1" * 5000 + b",1", b"1,2,3", b"nan,1"]
+    )
+    def test_an_odd_number_of_tokens_counts_as_absent(self, value):
+        headers = [(b"x-token-usage", value)]
+        assert PlatformHeaderCodec().read_request(headers).prompt_size is None
+
+    @pytest.mark.parametrize("value", [b"inf", b"nan", b"1e400", b"1" * 5000, b"soon"])
+    def test_an_odd_deadline_counts_as_absent(self, value):
+        headers = [(b"x-deadline-ms", value)]
+        assert PlatformHeaderCodec().read_request(headers).deadline_s is None
+
+    @fuzzed
+    @hypothesis.given(
+        st.dictionaries(
+            st.sampled_from([b"x-token-usage", b"x-prompt-prefix", b"x-deadline-ms"]),
+            st.binary(max_size=40),
+        )
+    )
+    def test_any_header_of_a_client_is_read(self, headers):
+        PlatformHeaderCodec().read_request(list(headers.items()))
+
+    # Guards against an exchange between instances that stops for a request (LOST).
+    @in_world(engines=2, plain=0, instances=2)
+    async def test_a_huge_prompt_does_not_stop_the_exchange(self, world):
+        first, second = world.apps
+        await eventually(lambda: first.peers.live() and second.peers.live())
+        sock = first.peers._sock
+        for usage in ("1460,99999999999", "99999999999,1", "99999999999,99999999999"):
+            await world.ask(first, "/stream/x", headers={"X-Token-Usage": usage})
+        await trio.sleep(0.1)
+        await world.ask(first, "/stream/x")
+        assert first.peers._sock is sock
+        assert first.peers.outbox.dropped_updates == 0
+
+
+class TestRowsOfInstances:
+    # Guards against an instance that stops following the store because of one row.
+    @in_world(engines=0, plain=1, instances=1)
+    async def test_an_odd_row_is_one_that_has_expired(self, world):
+        rows = [b"", b"x", b"\xff\xff", b"10.0.0.1 " + b"9" * 5000, b"a..b 1", b"x 1"]
+        for number, value in enumerate(rows):
+            world.rows.put("instances", f"odd-{number}", value)
+        with recorded_logs() as logs:
+            app = await world.add_instance()
+            await world.ready(app, 1)
+            await eventually(lambda: app.store_sync._registration.has_registered)
+            assert not logs.with_message("tasks: control task failed")
+        assert not [id for id in app.peers.known_ids() if id.startswith("odd")]
+        assert (await world.ask(app, "/safe/x")).status == 200
+
+
+class TestSettingsFile:
+    @pytest.mark.parametrize(
+        ("old", "new"),
+        [
+            ("grace_period_s = 8", "grace_period_s = nan"),
+            ("grace_period_s = 8", "grace_period_s = inf"),
+            ("[7340, 7355]", "[70000, 70015]"),
+            ("[7340, 7355]", "[true, 7355]"),
+            ('front = "127.0.0.1:8227"', 'front = "127.0.0.1:82270"'),
+            ("a_field_of_tomorrow = { x = 1 }", "x = " + "[" * 4096),
+        ],
+    )
+    def test_an_odd_file_is_refused(self, tmp_path, old, new):
+        assert old in SETTINGS
+        with pytest.raises(SettingsError):
+            read_process_settings(write(tmp_path, SETTINGS.replace(old, new)))
+
+    # Guards against a start that fails, or names that are looked up, for a stale seed.
+    def test_an_odd_seed_is_left_out(self, tmp_path):
+        text = SETTINGS.replace('["127.0.0.2:8229"]', '["127.0.0.2:8229", "a..b:1"]')
+        settings = read_process_settings(write(tmp_path, text))
+        assert settings.seed_addresses == ("127.0.0.2:8229",)
+
+    # Guards against the end of the process at SIGHUP.
+    @in_world(engines=0, plain=1, instances=1)
+    async def test_an_odd_file_at_a_reload_changes_nothing(self, world, tmp_path):
+        app = world.apps[0]
+        path = write(tmp_path, "x = " + "[" * 4096)
+        reload = functools.partial(read_process_settings, path)
+        app.env = dataclasses.replace(app.env, reload=reload)
+        app.reload()
+        assert (await world.ask(app, "/safe/x")).status == 200
