A message that can't be read, applied or sent ends no exchange between instances

What callers could see: while the exchange is restarted (a second), heartbeats, loads and crash evidence of the instance are missing at all others.

Evidence: three tests that failed before; the exchange had another socket afterwards.

Change: one typed error for what can't be read, at both front doors; a datagram that can't be applied is dropped, logged and counted (dropped_datagrams); of updates that can't be sent together, only the one at fault is left out.

--- a/src/foxtailsaddle/adapters/_peer_codec.py
+++ b/src/foxtailsaddle/adapters/_peer_codec.py
@@ -13,6 +13,7 @@
 from pydantic import alias_generators
 
 from .. import ports
+from .._input_readers import reading
 from ..core import InstanceId
 
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
@@ -120,13 +121,11 @@
 def decode(packed: bytes) -> Envelope:
     """Decode a packed envelope, without its length prefix.
 
-    :raises ValueError: the bytes are not a valid envelope.
+    :raises UnreadableInputError: the bytes are not a valid envelope.
     """
-    try:
+    with reading("message of another instance"):
         reader = _SCHEMA.Envelope.from_bytes_packed(packed)
         field = str(reader.which())
         message = _CODEC_BY_UNION_FIELD[field].read(getattr(reader, field))
         sender = InstanceId(reader.sender)
         return Envelope(sender, message, reader.id, reader.replyTo)
-    except (capnp.KjException, KeyError, ValueError) as error:
-        raise ValueError(f"peer message can't be decoded: {error}") from error
--- a/src/foxtailsaddle/adapters/_peer_links.py
+++ b/src/foxtailsaddle/adapters/_peer_links.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from .._tasks import log_unexpected
 from ..core import InstanceId, Listen, Member
 from ..ports import PeerMessage, PeerMessageHandler
 from ._listeners import open_listener
@@ -82,7 +83,7 @@
         if outbox is None:
             outbox, receive = trio.open_memory_channel[Envelope](OUTBOX_CAPACITY)
             self._outbox_by_address[address] = outbox
-            self._nursery.start_soon(self._write_link, address, receive)
+            self._nursery.start_soon(log_unexpected, self._write_link, address, receive)
         try:
             outbox.send_nowait(envelope)
         except trio.WouldBlock:
@@ -144,7 +145,9 @@
                 while (
                     envelope := await _read_envelope(stream, 2 * IDLE_TIMEOUT_S)
                 ) is not None:
-                    nursery.start_soon(self._reply, stream, write_lock, envelope)
+                    nursery.start_soon(
+                        log_unexpected, self._reply, stream, write_lock, envelope
+                    )
             except (OSError, ValueError, trio.TooSlowError, trio.BrokenResourceError):
                 logger.info("peers: incoming link closed")
             nursery.cancel_scope.cancel()
--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -395,6 +395,7 @@
         self.metrics.set("cut_paths", len(self.fleet.paths.cut_addresses()))
         self.metrics.set("relayed", self.relay_server.open_connections)
         self.metrics.set("dropped_updates", self.peers.outbox.dropped_updates)
+        self.metrics.set("dropped_datagrams", self.peers.dropped_datagrams)
         unreadable = self.store_sync.list_rows.unreadable_keys
         self.metrics.set("unreadable_entries", len(unreadable))
         body, content_type = self.metrics.render()
--- a/src/foxtailsaddle/forward/peers/_peers.py
+++ b/src/foxtailsaddle/forward/peers/_peers.py
@@ -15,6 +15,7 @@
     InstanceId,
     owner_of,
 )
+from ...errors import UnreadableInputError
 from .._evacuations import update_evacuations
 from .._fleet import FleetState
 from ._audiences import JobAudiences, shares_engines
@@ -56,6 +57,7 @@
     :ivar incarnation: number of this process.
     :ivar cut_off: this instance reaches no endpoint itself.
     :ivar updates: applies what peers send.
+    :ivar dropped_datagrams: number of datagrams that could not be read or applied.
     :ivar outbox: updates about this instance's work, which are sent to all others.
     :ivar on_datagram_received: called with the sender of each datagram, before the
         updates in it are applied.
@@ -86,6 +88,7 @@
         self.leaving = False
         self.cut_off = False
         self.reads_store = False
+        self.dropped_datagrams = 0
         self.list_version = NO_VERSION
         self.updates = PeerUpdates(fleet)
         self.on_datagram_received: t.Callable[[Peer], None] = lambda _: None
@@ -213,7 +216,19 @@
         while True:
             await self.outbox.wait()
             while updates := self.outbox.take(UPDATES_PER_DATAGRAM):
-                self._send_to_audiences(updates)
+                self._send_all_that_fit(updates)
+
+    def _send_all_that_fit(self, updates: list[Update]) -> None:
+        """Send updates; one that no message can hold is left out."""
+        try:
+            self._send_to_audiences(updates)
+        except Exception:
+            if len(updates) == 1:
+                self.outbox.dropped_updates += 1
+                logger.exception("peers: update not sent")
+                return
+            for update in updates:
+                self._send_all_that_fit([update])
 
     def _send_to_audiences(self, updates: list[Update]) -> None:
         """Send updates; those on jobs go to the instances that share their engines."""
@@ -366,18 +381,26 @@
         """Receive one datagram and apply it; return false if none is left."""
         try:
             data, address = self._sock._sock.recvfrom(MAX_DATAGRAM_BYTES)
-            header, updates = decode(data)
+            self._apply_datagram(data, address)
         except BlockingIOError:
             return False
-        except (OSError, ValueError) as error:
+        except (OSError, UnreadableInputError) as error:
+            self.dropped_datagrams += 1
             logger.warning("peers: datagram dropped", extra={"error": str(error)})
-            return True
-        if header.sender != self._fleet.instance:
-            self._handle_header(header, address)
-            for update in updates:
-                self.updates.apply(header.sender, update)
+        except Exception:
+            # What one of them sends must not end the exchange with all others.
+            self.dropped_datagrams += 1
+            logger.exception("peers: datagram not applied")
         return True
 
+    def _apply_datagram(self, data: bytes, address: tuple[str, int]) -> None:
+        header, updates = decode(data)
+        if header.sender == self._fleet.instance:
+            return
+        self._handle_header(header, address)
+        for update in updates:
+            self.updates.apply(header.sender, update)
+
     def _handle_header(self, header: DatagramHeader, address: tuple[str, int]) -> None:
         """Update the state of a peer; ignore datagrams of its earlier processes."""
         now = trio.current_time()
--- a/tests/test_unreadable_input.py
+++ b/tests/test_unreadable_input.py
@@ -16,12 +16,15 @@
 from hypothesis import strategies as st
 
 from foxtailsaddle._input_readers import MAX_NUMBER
+from foxtailsaddle.adapters._peer_codec import decode as decode_envelope
 from foxtailsaddle.errors import (
     ExchangeBrokenError,
     PlatformUnavailableError,
     SettingsError,
     UnreadableInputError,
 )
+from foxtailsaddle.forward.peers import decode_snapshot
+from foxtailsaddle.forward.peers._datagrams import decode as decode_datagram
 from foxtailsaddle.platform import (
     HttpEngineControl,
     HttpStore,
@@ -299,6 +302,46 @@
         assert first.peers.outbox.dropped_updates == 0
 
 
+class TestMessages:
+    """Datagrams and snapshots of other instances, at both front doors."""
+
+    @fuzzed
+    @hypothesis.given(st.binary(max_size=200))
+    @pytest.mark.parametrize(
+        "decode", [decode_datagram, decode_snapshot, decode_envelope]
+    )
+    def test_any_bytes_are_a_message_or_unreadable(self, decode, data):
+        with contextlib.suppress(UnreadableInputError):
+            decode(data)
+
+    # Guards against the end of the exchange with all instances because of one.
+    @in_world(engines=0, plain=1, instances=2)
+    async def test_a_message_that_can_not_be_applied_is_counted(self, world):
+        first, second = world.apps
+        await eventually(lambda: first.peers.live() and second.peers.live())
+        sock = first.peers._sock
+
+        def fail(_):
+            raise ZeroDivisionError
+
+        first.peers.on_datagram_received = fail
+        await eventually(lambda: first.peers.dropped_datagrams > 2)
+        assert first.peers._sock is sock
+
+    # Guards against losing what else was to be sent.
+    @in_world(engines=0, plain=1, instances=2)
+    async def test_an_update_that_no_message_can_hold_is_left_out(self, world):
+        first, second = world.apps
+        await eventually(lambda: first.peers.live() and second.peers.live())
+        sock = first.peers._sock
+        first.peers.outbox.notify_began(2**80)
+        first.peers.outbox.notify_slowdown("p0", 3.0)
+        now = trio.current_time()
+        await eventually(lambda: second.fleet.health.slowdown("p0", now) > 1)
+        assert first.peers.outbox.dropped_updates == 1
+        assert first.peers._sock is sock
+
+
 class TestRowsOfInstances:
     # Guards against an instance that stops following the store because of one row.
     @in_world(engines=0, plain=1, instances=1)
