The same rule at the product's own front door

What callers could see: one odd entry hid the whole list of instances; a ledger row of another form ended all background work of the process; a body nested too deeply was answered 500 in place of 400.

An odd instance in the list is ignored; an odd ledger row means that nothing is known of the call, so it isn't sent again; background work has its errors contained.

--- a/src/foxtailsaddle/adapters/_endpoints_http.py
+++ b/src/foxtailsaddle/adapters/_endpoints_http.py
@@ -8,6 +8,7 @@
 import sseclient
 import trio
 
+from .._input_readers import read_count, read_json, read_number, read_text, reading
 from ..core import AttemptId, CacheEvent, EventBuffer, Verdict, short_digest
 from ..errors import EndpointFailedError, ExchangeBrokenError
 from ..ports import (
@@ -25,6 +26,7 @@
 
 QUERY_TIMEOUT_S = 1.0
 QUERY_TOTAL_TIMEOUT_S = 5.0
+MAX_ATTEMPT_ID_BYTES = 500
 STREAM_END_DATA = "[DONE]"
 ATTEMPT_HEADER = "x-request-id"
 STATE_HEADER = "x-endpoint-state"
@@ -78,7 +80,7 @@
             body = await response.read()
         if response.status == 404:
             return AttemptState.UNKNOWN
-        with _translate_decode_errors(url):
+        with _reading_response(url):
             return AttemptState(_parse_json(body, url)["state"])
 
     async def cancel(self, url: str, attempt: str) -> None:
@@ -135,7 +137,7 @@
     async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
         """Return the published cache events with a number above ``after``."""
         data = await self._get_json(f"{url}/kv/events?after={after}")
-        with _translate_decode_errors(url):
+        with _reading_response(url):
             return [
                 CacheEvent(number, kind == "stored", short_digest(bytes.fromhex(block)))
                 for number, kind, block in data["events"]
@@ -144,7 +146,7 @@
     async def cached_blocks(self, url: str) -> tuple[int, list[int]]:
         """Return the number of the last event and the digests of all cached blocks."""
         data = await self._get_json(f"{url}/kv/blocks")
-        with _translate_decode_errors(url):
+        with _reading_response(url):
             digests = [short_digest(bytes.fromhex(block)) for block in data["blocks"]]
             return data["head"], digests
 
@@ -180,16 +182,25 @@
     async def load(self, url: str) -> LoadReport:
         """Return the engine's load report."""
         data = await self._get_json(f"{url}/load")
-        with _translate_decode_errors(url):
-            return LoadReport(
-                incarnation=data["incarnation"],
-                leaving=data["leaving"],
-                remaining_tokens_by_attempt=data["remaining_by_attempt"],
-                held_tokens=data["held_tokens"],
-                age_s=data["age_s"],
-                models=tuple(data.get("models", ())),
-                cache_head=data.get("cache_head"),
-            )
+        with _reading_response(url):
+            return _decode_load(data)
+
+
+def _decode_load(data: dict[str, t.Any]) -> LoadReport:
+    remaining = data["remaining_by_attempt"].items()
+    cache_head = data.get("cache_head")
+    return LoadReport(
+        incarnation=read_text(data["incarnation"]),
+        leaving=bool(data["leaving"]),
+        remaining_tokens_by_attempt={
+            read_text(attempt, MAX_ATTEMPT_ID_BYTES): read_number(tokens)
+            for attempt, tokens in remaining
+        },
+        held_tokens=read_count(data["held_tokens"]),
+        age_s=read_number(data["age_s"]),
+        models=tuple(read_text(model) for model in data.get("models", ())),
+        cache_head=None if cache_head is None else read_count(cache_head),
+    )
 
 
 class HttpPlainEndpoints:
@@ -233,8 +244,8 @@
         )
         async with self._client.exchange(request) as response:
             data = _parse_json(await response.read(), url)
-        with _translate_decode_errors(url):
-            return data["incarnation"], data["leaving"]
+        with _reading_response(url):
+            return read_text(data["incarnation"]), bool(data["leaving"])
 
 
 def _encode_generation(generation: GenerationRequest, attempt: AttemptId) -> bytes:
@@ -288,7 +299,7 @@
     async for data in events:
         if data == STREAM_END_DATA:
             return
-        with _translate_decode_errors(url):
+        with _reading_response(url):
             event = _decode_token_event(_parse_json(data, url), attempt)
         if event is not None:
             yield event
@@ -326,17 +337,10 @@
                 )
 
 
-@contextlib.contextmanager
-def _translate_decode_errors(url: str) -> t.Iterator[None]:
-    """Raise ``ExchangeBrokenError`` in place of the errors of a malformed response."""
-    try:
-        yield
-    except (KeyError, IndexError, TypeError, ValueError) as error:
-        raise ExchangeBrokenError(
-            f'endpoint at "{url}" sent a malformed response: {error!r}'
-        ) from error
+def _reading_response(url: str) -> contextlib.AbstractContextManager[None]:
+    return reading(f'response of "{url}"', ExchangeBrokenError)
 
 
 def _parse_json(data: bytes | str, url: str) -> t.Any:
-    with _translate_decode_errors(url):
-        return json.loads(data)
+    with _reading_response(url):
+        return read_json(data)
--- a/src/foxtailsaddle/adapters/_operator_client.py
+++ b/src/foxtailsaddle/adapters/_operator_client.py
@@ -4,6 +4,7 @@
 import typing as t
 from urllib.parse import quote
 
+from .._input_readers import read_json, reading
 from ..errors import ExchangeBrokenError, FoxtailsaddleError
 from ..ports import HttpClient, HttpRequest
 from ..verdicts import Verdict
@@ -95,13 +96,9 @@
         )
         async with self._client.exchange(request) as response:
             body = await response.read()
-        try:
-            answer = json.loads(body)
-        except ValueError as error:
-            raise ExchangeBrokenError(
-                f'"{self._url}{path}" answered status {response.status} with a body '
-                f"that is not JSON"
-            ) from error
+        what = f'answer {response.status} of "{self._url}{path}"'
+        with reading(what, ExchangeBrokenError):
+            answer = read_json(body)
         if response.status >= 400:
             raise RemoteError(answer)
         return answer
--- a/src/foxtailsaddle/adapters/_platform_http.py
+++ b/src/foxtailsaddle/adapters/_platform_http.py
@@ -7,18 +7,31 @@
 import contextlib
 import dataclasses
 import json
+import logging
 import typing as t
 from urllib.parse import quote
 
+from .._input_readers import (
+    read_digits,
+    read_int,
+    read_json,
+    read_optional,
+    read_text,
+    reading,
+)
 from ..errors import (
     ExchangeBrokenError,
     NothingSentError,
     PlatformUnavailableError,
     PreconditionFailedError,
+    UnreadableInputError,
     WriteOutcomeUnknownError,
 )
 from ..ports import HttpClient, HttpRequest, ListedInstance, Row
 
+logger = logging.getLogger("foxtailsaddle.peers")
+
+MAX_KEY_BYTES = 4096
 IDLE_TIMEOUT_S = 2.0
 TOTAL_TIMEOUT_S = 10.0
 ERA_HEADER = "store-era"
@@ -26,15 +39,8 @@
 STATUS_PRECONDITION_FAILED = 412
 
 
-@contextlib.contextmanager
-def _translate_decode_errors() -> t.Iterator[None]:
-    """Raise ``PlatformUnavailableError`` for errors of a malformed response."""
-    try:
-        yield
-    except (KeyError, TypeError) as error:
-        raise PlatformUnavailableError(
-            f"platform sent a malformed response: {error!r}"
-        ) from error
+def _reading_response() -> contextlib.AbstractContextManager[None]:
+    return reading("response of the platform", PlatformUnavailableError)
 
 
 class HttpPlatform:
@@ -51,15 +57,15 @@
         status, body = await self._get_json(f"/tables/{table}/{quote(key, safe='')}")
         if status == STATUS_NOT_FOUND:
             return None
-        with _translate_decode_errors():
-            return Row(**body)
+        with _reading_response():
+            return _decode_row(body)
 
     async def scan(self, table: str, after: str) -> list[Row]:
         """Return the next page of rows with a key above ``after``, in key order."""
         path = f"/tables/{table}?after={quote(after, safe='')}"
         _, body = await self._get_json(path)
-        with _translate_decode_errors():
-            return [Row(**item) for item in body["rows"]]
+        with _reading_response():
+            return [_decode_row(item) for item in body["rows"]]
 
     async def put(
         self, table: str, key: str, value: dict[str, t.Any], expected_version: int
@@ -89,14 +95,18 @@
             raise PlatformUnavailableError(
                 f'row "{table}/{key}": platform refused the write with status {status}'
             )
-        with _translate_decode_errors():
-            return Row(**body)
+        with _reading_response():
+            return _decode_row(body)
 
     async def instances(self) -> list[ListedInstance]:
         """Return the list of instances, which may be out of date."""
         _, body = await self._get_json("/instances")
-        with _translate_decode_errors():
-            return [ListedInstance(**item) for item in body["instances"]]
+        with _reading_response():
+            items = list(body["instances"])
+        listed = [read_optional(_decode_listed_instance, item) for item in items]
+        if None in listed:
+            logger.info("peers: listed instances ignored: %d", listed.count(None))
+        return [item for item in listed if item is not None]
 
     async def register(self, listed: ListedInstance) -> None:
         """Add or change this instance's entry in the list of instances."""
@@ -120,7 +130,7 @@
 
     def _record_era(self, text: str) -> None:
         """Record the era of an answer; answers of earlier eras may come late."""
-        era = int(text) if text.isdecimal() else 0
+        era = read_optional(read_digits, text.encode()) or 0
         if era > self.era:
             previous, self.era = self.era, era
             self.on_new_era(era, previous)
@@ -139,9 +149,27 @@
         async with self._client.exchange(request) as response:
             body = await response.read()
         self._record_era(response.headers.get(ERA_HEADER, "0"))
-        try:
-            return response.status, json.loads(body)
-        except ValueError as error:
-            raise ExchangeBrokenError(
-                f'platform answered "{path}" with invalid JSON'
-            ) from error
+        with reading(f'answer of the platform to "{path}"', ExchangeBrokenError):
+            return response.status, read_json(body)
+
+
+def _decode_row(fields: dict[str, t.Any]) -> Row:
+    if not isinstance(fields["value"], dict):
+        raise UnreadableInputError("the value of a row is no object")
+    key = read_text(fields["key"], MAX_KEY_BYTES)
+    return Row(key, read_int(fields["version"]), fields["value"])
+
+
+def _decode_listed_instance(fields: dict[str, t.Any]) -> ListedInstance:
+    return ListedInstance(
+        id=read_text(fields["id"]),
+        role=read_text(fields["role"]),
+        address=_string(fields["address"]),
+        data_centre=_string(fields["data_centre"]),
+        incarnation=_string(fields["incarnation"]),
+        leaving=bool(fields["leaving"]),
+    )
+
+
+def _string(value: t.Any) -> str:
+    return read_text(value) if value != "" else ""
--- a/src/foxtailsaddle/adapters/_settings_yaml.py
+++ b/src/foxtailsaddle/adapters/_settings_yaml.py
@@ -5,6 +5,7 @@
 
 import yaml
 
+from .._input_readers import reading
 from ..core import SettingsFile, read_model
 from ..errors import SettingsError
 
@@ -15,13 +16,11 @@
     :raises SettingsError: the file is missing or is not valid YAML.
     """
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
+        text = pathlib.Path(path).read_bytes()
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
-    try:
+    with reading(path, SettingsError):
         return yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        raise SettingsError(f"{path}: {error}") from error
 
 
 def read_settings_file(path: str) -> SettingsFile:
--- a/src/foxtailsaddle/app/_attempts.py
+++ b/src/foxtailsaddle/app/_attempts.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from .._tasks import log_unexpected
 from ..core import (
     AttemptId,
     EndpointId,
@@ -133,7 +134,7 @@
 
     def cancel_in_background(self, url: str, attempt: AttemptId) -> None:
         """Cancel an attempt at its endpoint, in the background."""
-        self._background.start_soon(self._cancel, url, attempt)
+        self._background.start_soon(log_unexpected, self._cancel, url, attempt)
 
     async def _stream_until_complete(
         self,
--- a/src/foxtailsaddle/app/_caller_api.py
+++ b/src/foxtailsaddle/app/_caller_api.py
@@ -1,7 +1,6 @@
 """The HTTP interface for callers, as an ASGI application."""
 
 import hashlib
-import json
 import logging
 import typing as t
 
@@ -13,6 +12,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from .._input_readers import read_json, reading
 from ..core import (
     AccountId,
     RevisionLog,
@@ -300,14 +300,14 @@
 
 
 def _parse_completion(raw: bytes, chat: bool) -> CompletionBody:
+    with reading("the body is no JSON document, it", RequestInvalidError):
+        fields = read_json(raw)
     try:
-        body = CompletionBody.model_validate(json.loads(raw))
+        body = CompletionBody.model_validate(fields)
     except pydantic.ValidationError as error:
         first_error = error.errors()[0]
         path = ".".join(map(str, first_error["loc"])) or "(body)"
         raise RequestInvalidError(f"body: {path}: {first_error['msg']}") from error
-    except ValueError as error:
-        raise RequestInvalidError(f"the body is no JSON document: {error}") from error
     if chat and not body.messages:
         raise RequestInvalidError("body: messages: a chat needs messages")
     if not chat and not body.prompt:
--- a/src/foxtailsaddle/app/_idempotency_ledger.py
+++ b/src/foxtailsaddle/app/_idempotency_ledger.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from .._input_readers import read_int, read_optional, reading
+from .._tasks import log_unexpected
 from ..core import Entry, EntryAssessment, EntryState, assess_entry
 from ..errors import (
     CallInProgressError,
@@ -14,6 +16,7 @@
     OutcomeUnknownError,
     PlatformUnavailableError,
     PreconditionFailedError,
+    UnreadableInputError,
     WriteOutcomeUnknownError,
 )
 from ..ports import Row
@@ -123,7 +126,7 @@
                 row = await self._read_row(entry)
             except WriteOutcomeUnknownError:
                 row = await self._fence(entry, expected_version)
-            found = Entry.from_row(row.value)
+            found = _read_entry(row)
             if found.token == entry.token and found.state is EntryState.DISPATCHED:
                 return Claim(entry, row.version)
             claim = self._resolve_existing(entry, found, row)
@@ -139,7 +142,7 @@
         """Write the outcome; continue in the background after ``wait_s`` seconds."""
         done = trio.Event()
         self.pending_writes += 1
-        self._background.start_soon(self._close, claim, closed, done)
+        self._background.start_soon(log_unexpected, self._close, claim, closed, done)
         with trio.move_on_after(wait_s):
             await done.wait()
 
@@ -158,7 +161,7 @@
         row = await self._env.platform.get(TABLE, row_key(account, service, key))
         if row is None:
             raise NotFoundError(f'idempotency key "{key}" does not exist')
-        return Claim(Entry.from_row(row.value), row.version)
+        return Claim(_read_entry(row), row.version)
 
     def _resolve_existing(self, entry: Entry, found: Entry, row: Row) -> Claim | None:
         """Decide what an existing row means for a new call.
@@ -214,7 +217,9 @@
         closed = dataclasses.replace(entry, state=EntryState.NOT_RUN)
         self.pending_writes += 1
         claim = Claim(entry, expected_version)
-        self._background.start_soon(self._close, claim, closed, trio.Event())
+        self._background.start_soon(
+            log_unexpected, self._close, claim, closed, trio.Event()
+        )
 
     async def _close(self, claim: Claim, closed: Entry, done: trio.Event) -> None:
         """Write the closing entry, retrying until the platform accepts it."""
@@ -246,7 +251,9 @@
         return row.version if self._is_claim_open(row, claim.entry) else None
 
     def _is_claim_open(self, row: Row, entry: Entry) -> bool:
-        found = Entry.from_row(row.value)
+        found = read_optional(_read_entry, row)
+        if found is None:
+            return False  # another program has replaced it
         is_open = found.state in (EntryState.DISPATCHED, EntryState.UNKNOWN)
         return found.token == entry.token and is_open
 
@@ -271,7 +278,7 @@
 
     def _rewrite_in_background(self) -> None:
         for key, entry in list(self._recent_by_key.items()):
-            self._background.start_soon(self._rewrite, key, entry)
+            self._background.start_soon(log_unexpected, self._rewrite, key, entry)
 
     async def _rewrite(self, key: str, entry: Entry) -> None:
         """Write an entry again if the platform has lost it."""
@@ -298,3 +305,20 @@
     async def _read_row_or_none(self, entry: Entry) -> Row | None:
         key = row_key(entry.account, entry.service, entry.key)
         return await self._env.platform.get(TABLE, key)
+
+
+def _read_entry(row: Row) -> Entry:
+    """Decode a row of the ledger.
+
+    :raises OutcomeUnknownError: it is no entry, so that nothing is known of the call.
+    """
+    try:
+        with reading(f'ledger entry "{row.key}"'):
+            entry = Entry.from_row(row.value)
+            read_int(entry.deadline_ms)
+            read_int(entry.written_ms)
+            return entry
+    except UnreadableInputError as error:
+        raise OutcomeUnknownError(
+            error.message, verdict=Verdict.MAY_HAVE_RUN
+        ) from error
--- a/src/foxtailsaddle/app/_operator_api.py
+++ b/src/foxtailsaddle/app/_operator_api.py
@@ -3,7 +3,6 @@
 import dataclasses
 import hashlib
 import hmac
-import json
 import typing as t
 
 import pydantic
@@ -12,6 +11,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from .._input_readers import read_digits, read_json, read_optional, reading
 from ..core import (
     AccountId,
     EndpointId,
@@ -99,10 +99,9 @@
 
     async def _post_change(self, request: Request) -> Response:
         author = self._authenticate(request)
-        try:
-            body = ChangeBody.model_validate(json.loads(await request.body()))
-        except ValueError as error:
-            raise RequestInvalidError(f"the change can't be read: {error}") from error
+        raw = await request.body()
+        with reading("the change", RequestInvalidError):
+            body = ChangeBody.model_validate(read_json(raw))
         change = Change(body.id, author, body.base, body.patch)
         revision = await self._settings_manager.accept(change)
         return JSONResponse(_revision_body(revision))
@@ -205,9 +204,10 @@
 
 
 def _revision_number(text: str) -> int:
-    if not text.isdecimal():
-        raise RequestInvalidError(f'after: not a revision number: "{text}"')
-    return int(text)
+    number = read_optional(read_digits, text.encode())
+    if number is None:
+        raise RequestInvalidError(f'after: not a revision number: "{text:.200}"')
+    return number
 
 
 def _revision_body(revision: Revision) -> dict[str, t.Any]:
--- a/src/foxtailsaddle/app/_plain_gateway.py
+++ b/src/foxtailsaddle/app/_plain_gateway.py
@@ -5,10 +5,10 @@
 
 import base64
 import dataclasses
-import json
 
 import trio
 
+from .._input_readers import read_int, read_json, read_optional, read_text
 from ..core import (
     EndpointId,
     Entry,
@@ -297,8 +297,8 @@
                 )
             except FoxtailsaddleError:
                 continue
-            if answer.status == 200:
-                outcome = Outcome(**json.loads(answer.body))
+            outcome = read_optional(_decode_outcome, answer.body)
+            if answer.status == 200 and outcome is not None:
                 finished_entry = dataclasses.replace(
                     lost_claim.entry, state=EntryState.DONE, outcome=outcome
                 )
@@ -342,6 +342,17 @@
     )
 
 
+def _decode_outcome(body: bytes) -> Outcome:
+    fields = read_json(body)
+    return Outcome(
+        status=read_int(fields["status"], low=100, high=599),
+        content_type=read_text(fields["content_type"])
+        if fields["content_type"]
+        else "",
+        body=base64.b64encode(base64.b64decode(fields["body"])).decode(),
+    )
+
+
 def _stored_answer(outcome: Outcome) -> PlainResponse:
     return PlainResponse(
         status=outcome["status"],
--- a/src/foxtailsaddle/app/_settings_manager.py
+++ b/src/foxtailsaddle/app/_settings_manager.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from .._input_readers import read_int, read_json, read_text, reading
 from ..core import NUMBERS_PER_ERA, Members, Revision, RevisionLog, next_number
 from ..errors import (
     FoxtailsaddleError,
@@ -32,6 +33,7 @@
 FENCE_AUTHOR = "foxtailsaddle"
 MAX_FENCE_ATTEMPTS = 5
 PEER_FETCH_TIMEOUT_S = 2.0
+MAX_CHANGE_ID_BYTES = 1000  # four a character
 POLL_JITTER = 0.2  # of the interval, either way
 
 
@@ -228,7 +230,7 @@
             rows = await self._env.platform.scan(TABLE, _row_key(last))
             if not rows:
                 return found
-            found += [Revision(**row.value) for row in rows]
+            found += [_decode_revision(row) for row in rows]
 
     async def get_change(self, change_id: str) -> Revision:
         """Return the revision of an accepted change.
@@ -327,7 +329,7 @@
             rows = await self._env.platform.scan(TABLE, _row_key(self.log.number))
             previous_number = self.log.number
             for row in rows:
-                self.log.apply(Revision(**row.value))
+                self.log.apply(_decode_revision(row))
             if not rows:
                 return
             if self.log.number == previous_number:
@@ -340,8 +342,15 @@
 
     async def _read_snapshot(self) -> None:
         row = await self._env.platform.get(SNAPSHOT_TABLE, SNAPSHOT_KEY)
-        if row is not None:
-            self.log.adopt(row.value["number"], row.value["document"])
+        if row is None:
+            return
+        try:
+            with reading("snapshot", SettingsError):
+                number = read_int(row.value["number"])
+                self.log.adopt(number, row.value["document"])
+        except SettingsError as error:
+            # It only saves reading all revisions.
+            logger.warning("settings: snapshot ignored", extra={"why": error.message})
 
     async def _write_snapshot(self) -> None:
         """Write a snapshot if one is due.
@@ -353,7 +362,8 @@
             return
         try:
             row = await self._env.platform.get(SNAPSHOT_TABLE, SNAPSHOT_KEY)
-            if row is None or row.value["number"] < self.log.number:
+            number = row.value.get("number") if row is not None else None
+            if not isinstance(number, int) or number < self.log.number:
                 value = {"number": self.log.number, "document": self.log.document}
                 expected = row.version if row else 0
                 await self._env.platform.put(
@@ -371,9 +381,27 @@
             member, SettingsRequest(self.log.number), PEER_FETCH_TIMEOUT_S
         )
         if isinstance(reply, SettingsReply) and reply.document:
-            self.log.adopt(reply.revision, json.loads(reply.document))
+            with reading("settings of a peer", SettingsError):
+                self.log.adopt(reply.revision, read_json(reply.document))
             logger.info("settings: adopted from peer", extra={"from": sender})
 
 
 def _row_key(number: int) -> str:
     return f"{number:0{ROW_KEY_DIGITS}d}"
+
+
+def _decode_revision(row: Row) -> Revision:
+    """Decode a row of the table of revisions.
+
+    :raises SettingsError: the row is no revision.
+    """
+    with reading(f'revision "{row.key}"', SettingsError):
+        fields = row.value
+        return Revision(
+            number=read_int(fields["number"]),
+            change=read_text(fields["change"], MAX_CHANGE_ID_BYTES),
+            author=read_text(fields["author"], MAX_CHANGE_ID_BYTES),
+            patch=dict(fields["patch"]),
+            at_ms=read_int(fields["at_ms"]),
+            document=fields.get("document"),
+        )
--- a/tests/test_unreadable_input.py
+++ b/tests/test_unreadable_input.py
@@ -16,9 +16,11 @@
 from hypothesis import strategies as st
 
 from foxtailsaddle._input_readers import MAX_NUMBER
+from foxtailsaddle.adapters import HttpPlatform, read_settings_file
 from foxtailsaddle.adapters._peer_codec import decode as decode_envelope
 from foxtailsaddle.errors import (
     ExchangeBrokenError,
+    FoxtailsaddleError,
     PlatformUnavailableError,
     SettingsError,
     UnreadableInputError,
@@ -37,6 +39,7 @@
 from tests.log_records import recorded_logs
 from tests.loopback_world import eventually, in_world
 from tests.test_platform_adapter import SETTINGS, write
+from tests.test_unexpected_answers import FixedClient, platform_answering
 
 NESTED = b"[" * 4096  # the parser of JSON gives up with an error of its own
 BALANCED = b"[" * 900 + b"]" * 900  # it is read, but can't be printed
@@ -390,3 +393,36 @@
         app.env = dataclasses.replace(app.env, reload=reload)
         app.reload()
         assert (await world.ask(app, "/safe/x")).status == 200
+
+
+class TestProductsOwnFrontDoor:
+    """The same rule for what the other front door reads."""
+
+    @pytest.mark.parametrize("body", [b"", b"[]", b"{}", b"\xff", NESTED, BALANCED])
+    def test_an_odd_answer_of_the_platform_is_none(self, body):
+        with pytest.raises(FoxtailsaddleError):
+            trio.run(platform_answering(200, body).get, "ledger", "k")
+        with pytest.raises(FoxtailsaddleError):
+            trio.run(platform_answering(200, body).instances)
+
+    # Guards against a list of instances that is not followed because of one entry.
+    def test_an_odd_instance_is_ignored_and_the_others_hold(self):
+        listed = {
+            "id": "i2",
+            "role": "instance",
+            "address": "127.0.0.1:9",
+            "data_centre": "",
+            "incarnation": "1",
+            "leaving": False,
+        }
+        odd = [{}, 7, None, listed | {"id": HUGE_INTEGER}, listed | {"role": [[]]}]
+        body = json.dumps({"instances": [*odd, listed, *odd]}).encode()
+        platform = HttpPlatform(FixedClient(200, body), "http://platform")
+        assert [item.id for item in trio.run(platform.instances)] == ["i2"]
+
+    @pytest.mark.parametrize("text", [b"\xff\xfe", b"a: [", b"[" * 3000, b"x: {" * 999])
+    def test_an_odd_settings_file_is_refused(self, tmp_path, text):
+        path = tmp_path / "odd.yaml"
+        path.write_bytes(text)
+        with pytest.raises(SettingsError):
+            read_settings_file(str(path))
