--- a/src/foxtailsaddle/adapters/_endpoints_http.py
+++ b/src/foxtailsaddle/adapters/_endpoints_http.py
@@ -61,8 +61,9 @@
             idle_timeout_s=stall_timeout_s,
         )
         async with self._client.exchange(request) as response:
+            _check_own(response.headers, attempt, url)
             if response.status != 200:
-                raise _response_error(url, response.status, response.headers)
+                raise _response_error(url, response, attempt)
             events = _sse_data(response, stall_timeout_s, url)
             yield _token_events(events, str(attempt), url)
 
@@ -225,12 +226,20 @@
             new_connection=call.new_connection,
         )
         async with self._client.exchange(request) as response:
+            _check_own(response.headers, call.attempt, url)
             body = await response.read()
+        verdict = Verdict.RAN
+        if NOT_RUN_HEADER in response.headers:
+            verdict = _refusal_verdict(response.headers, call.attempt)
+        if verdict is Verdict.MAY_HAVE_RUN:
+            raise ExchangeBrokenError(
+                f'endpoint at "{url}" refused without the id of the request'
+            )
         return PlainResponse(
             status=response.status,
             content_type=response.headers.get("content-type", ""),
             body=body,
-            verdict=_verdict_of(response.headers),
+            verdict=verdict,
         )
 
     async def health(self, url: str) -> tuple[str, bool]:
@@ -271,21 +280,39 @@
     ).encode()
 
 
-def _verdict_of(headers: t.Mapping[str, str]) -> Verdict:
-    return Verdict.NOT_RUN if NOT_RUN_HEADER in headers else Verdict.RAN
+def _check_own(headers: t.Mapping[str, str], attempt: AttemptId, url: str) -> None:
+    """Check that a response is not the one to an earlier request.
+
+    :raises ExchangeBrokenError: it names another attempt.
+    """
+    named = headers.get(ATTEMPT_HEADER, "")
+    if named and named != str(attempt):
+        raise ExchangeBrokenError(
+            f'endpoint at "{url}" sent the response to another request'
+        )
+
+
+def _refusal_verdict(headers: t.Mapping[str, str], attempt: AttemptId) -> Verdict:
+    """Return what a refusal proves: nothing, unless it names the attempt.
+
+    An earlier refusal may arrive once more on a connection that is used again.
+    """
+    is_own = headers.get(ATTEMPT_HEADER) == str(attempt)
+    return Verdict.NOT_RUN if is_own else Verdict.MAY_HAVE_RUN
 
 
 def _response_error(
-    url: str, status: int, headers: t.Mapping[str, str]
+    url: str, response: HttpResponse, attempt: AttemptId
 ) -> EndpointFailedError:
     """Return the error for a response that is not a stream.
 
     Only a header from the endpoint itself proves that the request did not run.
     """
-    refused = NOT_RUN_HEADER in headers
-    verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
+    verdict = Verdict.MAY_HAVE_RUN
+    if NOT_RUN_HEADER in response.headers:
+        verdict = _refusal_verdict(response.headers, attempt)
     return EndpointFailedError(
-        f'endpoint at "{url}" answered status {status}', verdict=verdict
+        f'endpoint at "{url}" answered status {response.status}', verdict=verdict
     )
 
 
--- a/src/foxtailsaddle/forward/attempts/_attempt.py
+++ b/src/foxtailsaddle/forward/attempts/_attempt.py
@@ -154,8 +154,8 @@
         """Return the head of the response, raw and decoded.
 
         :raises RefusedError: the endpoint did not run the request.
-        :raises ExchangeBrokenError: no response came, it belongs to another request,
-            or it says without proof that the request did not run.
+        :raises ExchangeBrokenError: no response came, it belongs to another request or
+            may do so, or it says without proof that the request did not run.
         """
         response = await self._record_broken(self._exchange.receive_head())
         response_head = self._header_codec.read_response(
@@ -172,6 +172,7 @@
             )
         self._record_limit(response_head)
         if response_head.refused:
+            self._check_own_refusal(response_head)
             self._context.possible_runs -= 1
             raise RefusedError(
                 f'"{self.job.endpoint}" refused the request',
@@ -186,6 +187,19 @@
             )
         return response, response_head
 
+    def _check_own_refusal(self, response_head: ResponseHead) -> None:
+        """Check that a refusal is the response to this request, and no earlier one.
+
+        :raises ExchangeBrokenError: it doesn't bear the id of the request, which may
+            have run.
+        """
+        if response_head.request_id != self._context.request.id:
+            self.outcome = AttemptOutcome.FAILED
+            raise ExchangeBrokenError(
+                f'"{self.job.endpoint}" refused with {response_head.status} and '
+                "without the id of the request"
+            )
+
     def _record_limit(self, response_head: ResponseHead) -> None:
         """Record the endpoint's limit.
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,8 +15,6 @@
 from .common import knobs_handler, read_json, serve
 from .engine_model import EngineModel
 
-NOT_RUN_HEADERS = {"x-not-run": "1"}
-
 
 class EngineApp:
     """HTTP API of an engine: completions, and paths for attempts, KV and load."""
@@ -52,7 +50,8 @@
         attempt = request.headers["x-request-id"]
         known = attempt in self.model.sequence_by_attempt
         if self.model.leaving and not known:
-            return JSONResponse({"error": "leaving"}, 503, headers=NOT_RUN_HEADERS)
+            headers = {"x-not-run": "1", "x-request-id": attempt}
+            return JSONResponse({"error": "leaving"}, 503, headers=headers)
         body = await read_json(request)
         chat = "messages" in body
         prompt = body.get("prompt") or "\n".join(
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -88,10 +88,12 @@
 
     async def _call(self, request: Request) -> Response:
         await self.model.knobs.delay_request()
+        id = request.headers.get("x-request-id", "")
         if self.model.leaving:
-            return JSONResponse({"error": "leaving"}, 503, headers={"x-not-run": "1"})
+            headers = {"x-not-run": "1", "x-request-id": id}
+            return JSONResponse({"error": "leaving"}, 503, headers=headers)
         answer = self.model.run(
-            request.headers.get("x-request-id", ""),
+            id,
             request.path_params["path"],
             await request.body(),
         )
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -266,10 +266,12 @@
             if self.retry_after:
                 self.observe(RunnerEvent.ASKED_FOR_PAUSE, id)
             self.refused_at.append(trio.current_time())
-            headers = {"x-not-executed": "1"} | self._own_headers(503)
+            headers = {"x-not-executed": "1", "x-request-id": id}
+            headers |= self._own_headers(503)
             return await connection.answer(503, headers=headers)
         if fault is Fault.MISDIRECTED:
-            headers = {"x-instance-id": self.id} | self._own_headers()
+            headers = {"x-instance-id": self.id, "x-request-id": id}
+            headers |= self._own_headers()
             return await connection.answer(421, headers=headers)
         run = Run(request)
         self.runs.append(run)
