--- a/src/foxtailsaddle/forward/streams/_forwarder.py
+++ b/src/foxtailsaddle/forward/streams/_forwarder.py
@@ -20,7 +20,7 @@
     NothingSentError,
     OverloadedError,
 )
-from ...ports import Dispatch, HeaderCodec, Headers, PromptSize
+from ...ports import Dispatch, HeaderCodec, PromptSize
 from .._data_centre_traffic import DataCentreTraffic
 from .._fleet import FleetState
 from .._request_context import RequestContext
@@ -31,6 +31,7 @@
 from ._placer import StreamPlacer
 from ._progress import StreamProgress
 from ._reservations import MemoryFullError, Reservations
+from ._responses import check_continuation, without_length
 from ._slot_queues import SlotQueues
 from ._timeouts import EngineSilentError, EventGaps, SilenceTimeout, receive_events
 
@@ -40,9 +41,6 @@
 SERVER_ERROR = 500
 OK = 200
 
-# Times slower than published. Smaller values are recorded and sent to the other
-# instances only while the recorded value is above this bound.
-
 # Engines run requests with lower priority numbers first. For each of these prefill
 # times that a prompt exceeds, its number is increased by one.
 PRIORITY_BOUNDS_MS = (60.0, 250.0, 1000.0)
@@ -88,9 +86,7 @@
             f'service "{context.service.id}" has no engine that takes requests'
         )
         while context.attempts < MAX_ATTEMPTS:
-            if context.attempts and not may_attempt_again(
-                self._fleet, context, trio.current_time()
-            ):
+            if not self._may_attempt(context, buffer):
                 break
             plan = await self._next_plan(context, buffer)
             if plan is None:
@@ -120,6 +116,14 @@
             self._fleet, context, error, trio.current_time(), RETRY_AFTER_S
         )
 
+    def _may_attempt(self, context: RequestContext, buffer: EventBuffer) -> bool:
+        """Return whether there may be another attempt, after the first one."""
+        if not context.attempts:
+            return True
+        return buffer.can_be_continued and may_attempt_again(
+            self._fleet, context, trio.current_time()
+        )
+
     async def _next_plan(
         self, context: RequestContext, buffer: EventBuffer
     ) -> StreamPlan | None:
@@ -279,13 +283,19 @@
             await self._relay_whole_response(context, attempt, response)
             return
         is_resumed = context.response_writer.started
-        if not is_resumed:
+        if is_resumed:
+            check_continuation(attempt, response)
+            buffer.expect_continuation()
+        else:
             headers = self._header_codec.caller_headers(list(response.headers))
             await context.response_writer.send_head(
-                response.status_code, _without_length(headers)
+                response.status_code, without_length(headers)
             )
+        previous_count = buffer.event_count
         await self._relay_events(context, attempt, plan, buffer)
-        if not buffer.ends_after_event:
+        # That nothing more came may be the end of the stream or of the connection.
+        has_ended = buffer.event_count > previous_count or attempt.has_framing
+        if not buffer.ends_after_event or not has_ended:
             attempt.outcome = AttemptOutcome.FAILED
             raise ExchangeBrokenError(
                 f'"{plan.endpoint}" ended before an event or inside one',
@@ -391,8 +401,3 @@
     They may not for a stream that has started: its caller waits for the next event.
     """
     return plan.deprioritized and not buffer.event_count
-
-
-def _without_length(headers: Headers) -> Headers:
-    """Leave out the content length, as another engine may send the rest."""
-    return [header for header in headers if header[0] != b"content-length"]
