Endpoints of services that no configuration names are not contacted

What others could see: connections of the instances to another program, whenever an endpoint is out of reach, and a relay that takes the answer of that program for a sign that it reaches endpoints.

Cause: the relay's check and the probes of a doubtful instance took all listed entries. Evidence: a listener behind such an entry got connections in a test, which failed before.

Change: both go by the endpoints of configured services.

--- a/src/foxtailsaddle/forward/_fleet.py
+++ b/src/foxtailsaddle/forward/_fleet.py
@@ -159,6 +159,15 @@
         """Return the endpoints of a service that this instance may send requests to."""
         return self.eligible(self.endpoints.usable(service), now)
 
+    def configured_endpoints(self) -> list[ListedEndpoint]:
+        """Return the listed endpoints of all services that the configuration names.
+
+        Others may be listed too; nothing is sent to these.
+        """
+        table = self.route_table
+        services = table.service_by_id if table is not None else ()
+        return [entry for entry in self.endpoints.all() if entry.service in services]
+
     def _service_of(self, endpoint: EndpointId) -> ServiceId:
         entry = self.endpoints.get(endpoint)
         return entry.service if entry is not None else NO_SERVICE
--- a/src/foxtailsaddle/forward/paths/_connector.py
+++ b/src/foxtailsaddle/forward/paths/_connector.py
@@ -131,7 +131,7 @@
         cut = paths.cut_addresses()
         chosen = random.sample(cut, min(count, len(cut)))
         if paths.is_doubtful:
-            listed = {entry.address for entry in self._fleet.endpoints.all()}
+            listed = {entry.address for entry in self._fleet.configured_endpoints()}
             others = sorted(listed.difference(cut))
             chosen += random.sample(others, min(MAX_CHECKED, len(others)))
         return chosen
--- a/src/foxtailsaddle/forward/paths/_relay_server.py
+++ b/src/foxtailsaddle/forward/paths/_relay_server.py
@@ -87,9 +87,8 @@
 
     async def _reaches_another(self, address: str) -> bool:
         """Return whether this instance reaches any other endpoint at this moment."""
-        others = [
-            e.address for e in self._fleet.endpoints.all() if e.address != address
-        ]
+        addresses = {e.address for e in self._fleet.configured_endpoints()}
+        others = sorted(addresses - {address})
         async with trio.open_nursery() as nursery:
             found = []
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -97,6 +97,32 @@
             trio.run(ask)
 
 
+class TestUnknownService:
+    # Guards against connections to other programs, and against taking their answer for
+    # a sign that endpoints are within reach.
+    @in_world(engines=0, plain=2, instances=2)
+    async def test_its_endpoints_are_not_contacted(self, world):
+        connections = []
+
+        async def accept(stream):
+            connections.append(stream)
+            await stream.aclose()
+
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        world.nursery.start_soon(trio.serve_listeners, accept, listeners)
+        host, port = listeners[0].socket.getsockname()
+        world.rows.put("servers", "archive", foreign_entry(address=f"{host}:{port}"))
+        await trio.sleep(1.0)
+        for app in world.apps:
+            world.cut_off(app, CutKind.RESET)
+        for _ in range(5):
+            for app in world.apps:
+                assert (await world.ask(app, "/safe/x")).status >= 500
+                await trio.sleep(0.1)
+        await trio.sleep(1.0)
+        assert connections == []
+
+
 class TestInternalConnections:
     """An error on one connection between instances ends that connection only."""
 
