Negative rates and priorities of a configuration are numbers too

Rates and priorities may be negative again. The entry in test_cold_starts.py had "h" for a host, which is no address any more (nothing is looked up by name); it has an IPv4 address now and asks for the typed error, which is as strict.

--- a/src/foxtailsaddle/platform/_configuration.py
+++ b/src/foxtailsaddle/platform/_configuration.py
@@ -5,6 +5,7 @@
 
 from .._input_readers import (
     MAX_CONFIGURED_TEXT_BYTES,
+    MAX_NUMBER,
     read_count,
     read_json,
     read_number,
@@ -63,7 +64,7 @@
         / 1000,
         gap_s=read_number(item.get("target_gap_ms", 0)) / 1000,
         max_attempts=read_count(item.get("max_attempts", 1)),
-        priority=read_count(item.get("priority", 0)),
+        priority=int(_signed(item.get("priority", 0))),
         resumable=bool(item.get("resumable", False)),
         public=bool(item.get("public", False)),
     )
@@ -82,8 +83,8 @@
 
 def _decode_cold_start(item: dict[str, t.Any]) -> ColdStartSpec | None:
     """Decode what cold endpoints tolerate; ``None`` if they tolerate any load."""
-    duration_s = read_number(item.get("cold_start_s") or 0)
-    per_s = read_number(item.get("cold_per_s") or 0)
+    duration_s = _signed(item.get("cold_start_s") or 0)
+    per_s = _signed(item.get("cold_per_s") or 0)
     if not (duration_s > 0 and per_s > 0):
         return None
     return ColdStartSpec(duration_s, per_s)
@@ -109,7 +110,7 @@
     for item in items:
         name, priority = read_printable_text(item["name"]), item.get("priority")
         account = ClientAccount(
-            AccountId(name), None if priority is None else read_count(priority)
+            AccountId(name), None if priority is None else int(_signed(priority))
         )
         for key in item.get("api_keys") or []:
             account_by_key[_text(key)] = account
@@ -132,5 +133,9 @@
     return read_text(value, MAX_CONFIGURED_TEXT_BYTES)
 
 
+def _signed(value: t.Any) -> float:
+    return read_number(value, low=-MAX_NUMBER)
+
+
 def _positive(value: t.Any) -> float:
     return read_number(value, low=sys.float_info.min)
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -25,6 +25,7 @@
     ServiceId,
 )
 from foxtailsaddle.core._cold_starts import MAX_COLD_S
+from foxtailsaddle.errors import UnreadableInputError
 from foxtailsaddle.platform import PlatformHeaderCodec
 from foxtailsaddle.platform._configuration import decode_configuration
 from foxtailsaddle.platform._endpoint_entries import decode_endpoint_entry
@@ -139,14 +140,14 @@
 
 class TestDecoding:
     def test_the_entry(self):
-        row = b'{"service":"s","address":"h:1","zone":"a","state":"ready","slots":8'
+        row = b'{"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready"'
+        row += b',"slots":8'
         assert decode_endpoint_entry("e", row + b"}").cold_s == 0.0
         cold = decode_endpoint_entry("e", row + b',"cold_remaining_ms":2500}')
         assert cold.cold_s == 2.5
         for value in (b'"x"', b"-1", b"true", b"NaN"):
-            assert not decode_endpoint_entry(
-                "e", row + b',"cold_remaining_ms":%b}' % value
-            )
+            with pytest.raises(UnreadableInputError):
+                decode_endpoint_entry("e", row + b',"cold_remaining_ms":%b}' % value)
 
     def test_the_header(self):
         def cold_s(value):
