A process without a free descriptor waits instead of ending

What callers saw: all requests of an instance closed without an answer, when it had no descriptor left and another instance, the balancer or a scraper connected (found by the review by reading, with 300 descriptors and 400 idle connections).

Cause: the listener for clients caught EMFILE, the one for internal pages didn't, and its error ends the process.

Change: both go by one accept(), which waits until there is a descriptor.

--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -1,7 +1,6 @@
 """The application object: starts, serves, drains and stops one instance."""
 
 import dataclasses
-import errno
 import functools
 import logging
 import random
@@ -40,7 +39,7 @@
     StreamForwarder,
     StreamPlacer,
 )
-from .transport import KeepAliveHttpClient, listen
+from .transport import KeepAliveHttpClient, accept, listen
 
 logger = logging.getLogger("foxtailsaddle.app")
 
@@ -51,7 +50,6 @@
 IDLE_POLL_S = 0.1
 STOP_CONNECTIONS_S = 0.3
 STOP_POLL_S = 0.01
-ACCEPT_RETRY_S = 0.05
 
 
 class FrontApplication:
@@ -248,19 +246,11 @@
         logger.info("app: listening")
         while True:
             try:
-                client, _ = await sock.accept()
-            except trio.ClosedResourceError:
-                return
-            except OSError as error:
+                client = await accept(sock)
+            except (OSError, trio.ClosedResourceError):
                 if sock.fileno() < 0:
                     return
-                if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED):
-                    raise
-                logger.warning(
-                    "app: connection not accepted", extra={"why": str(error)}
-                )
-                await trio.sleep(ACCEPT_RETRY_S)
-                continue
+                raise
             nursery.start_soon(self._serve, client, admission)
 
     async def _serve(
--- a/src/foxtailsaddle/forward/connections/_internal_pages.py
+++ b/src/foxtailsaddle/forward/connections/_internal_pages.py
@@ -7,7 +7,7 @@
 import h11
 import trio
 
-from ..transport import RECEIVE_BYTES, listen, send_all, set_tcp_options
+from ..transport import RECEIVE_BYTES, accept, listen, send_all, set_tcp_options
 
 logger = logging.getLogger("foxtailsaddle.control")
 
@@ -43,7 +43,7 @@
     sock = await listen(address)
     async with trio.open_nursery() as nursery:
         while True:
-            client, _ = await sock.accept()
+            client = await accept(sock)
             nursery.start_soon(_serve, client, pages, tunnel)
 
 
--- a/src/foxtailsaddle/forward/transport/_sockets.py
+++ b/src/foxtailsaddle/forward/transport/_sockets.py
@@ -1,5 +1,7 @@
 """TCP sockets that detect a peer that no longer responds."""
 
+import errno
+import logging
 import socket
 import struct
 import typing as t
@@ -9,6 +11,8 @@
 from ...core import parse_address
 from ...errors import AddressInUseError, NothingSentError, UnreadableInputError
 
+logger = logging.getLogger("foxtailsaddle.transport")
+
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3  # a sound peer may answer none for two seconds
@@ -17,6 +21,8 @@
 RECEIVE_BYTES = 65536
 DISCARD_TIMEOUT_S = 1.0
 MAX_DISCARDED_BYTES = 8_388_608
+ACCEPT_RETRY_S = 0.05
+ACCEPT_AGAIN_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED)
 
 
 class Connection(t.Protocol):
@@ -117,6 +123,22 @@
     return sock
 
 
+async def accept(listener: trio.socket.SocketType) -> trio.socket.SocketType:
+    """Return the next connection; wait while the process has no descriptor for it.
+
+    :raises OSError: the listener is closed or broken.
+    """
+    while True:
+        try:
+            connection, _ = await listener.accept()
+            return connection
+        except OSError as error:
+            if error.errno not in ACCEPT_AGAIN_ERRORS:
+                raise
+            logger.warning("transport: not accepted", extra={"why": str(error)})
+            await trio.sleep(ACCEPT_RETRY_S)
+
+
 async def send_all(sock: Connection, data: bytes) -> None:
     """Send all of ``data``."""
     view = memoryview(data)
