--- a/src/foxtailsaddle/forward/store/__init__.py
+++ b/src/foxtailsaddle/forward/store/__init__.py
@@ -1,6 +1,7 @@
 """Keeps this instance in sync with the platform's store."""
 
-from ._sync import SNAPSHOT_PATH, StoreSync
+from ._snapshots import SNAPSHOT_PATH
+from ._sync import StoreSync
 
 __all__ = [
     "SNAPSHOT_PATH",
--- a/src/foxtailsaddle/forward/store/_sync.py
+++ b/src/foxtailsaddle/forward/store/_sync.py
@@ -14,16 +14,15 @@
     retry_pause_s,
     should_read,
 )
-from ...errors import FoxtailsaddleError
 from ...ports import Store, StoredRow, StoredRows, StoreSchema
 from .._cold_starts import record_entry
 from .._evacuations import expire_evacuations, update_evacuations
 from .._fleet import FleetState
-from ..peers import ListChanged, Peer, Peers, Snapshot, decode_snapshot
-from ..transport import KeepAliveHttpClient
+from ..peers import ListChanged, Peer, Peers, Snapshot
 from ._configuration_sync import ConfigurationSync
 from ._list_rows import ListRowReader
 from ._registration import InstanceRegistration
+from ._snapshots import fetch_snapshot
 from ._table_follower import TableFollower
 
 logger = logging.getLogger("foxtailsaddle.store")
@@ -38,9 +37,7 @@
 LIST_LAG_S = 0.9  # longer than the pauses between a reader's calls
 MAX_LIST_LAG = 0.45  # of the drain timeout
 READERS_SETTLE_S = 1.7  # after the start, until a reader must have been heard
-SNAPSHOT_TIMEOUT_S = 1.0
 SNAPSHOT_INTERVAL_S = 0.7
-SNAPSHOT_PATH = "/snapshot"
 
 
 class StoreSync:
@@ -360,18 +357,9 @@
                 await self._fetch(random.choice(addresses), with_list=True)
 
     async def _fetch(self, control_address: str, with_list: bool) -> None:
-        client = KeepAliveHttpClient(control_address)
-        try:
-            reply = await client.call("GET", SNAPSHOT_PATH, None, SNAPSHOT_TIMEOUT_S)
-            snapshot = decode_snapshot(reply.body)
-        except FoxtailsaddleError as error:
-            logger.info(
-                "peers: snapshot not fetched",
-                extra={"peer": control_address, "why": str(error)},
-            )
+        snapshot = await fetch_snapshot(control_address)
+        if snapshot is None:
             return
-        finally:
-            await client.aclose()
         update_evacuations(
             self._fleet, snapshot.evacuated, control_address, trio.current_time()
         )
