The soak writes odd entries of another program beside all other faults

Nesting, numbers and ports that are too large, names that can't be encoded and entries of an unknown service come and go in the list while instances are killed and started. Their random numbers are their own, so the other faults of a seed stay what they were.

--- /dev/null
+++ b/soak/foreign_entries.py
@@ -0,0 +1,45 @@
+"""Writes entries of another program into the list of runners, while others fail."""
+
+import json
+import random
+
+import trio
+
+from .fleet import SoakFleet
+
+KEYS = [f"foreign-{number}" for number in range(4)]
+PAUSE_S = (0.3, 2.0)
+ENTRY = {
+    "service": "archive",
+    "address": "127.0.0.1:9",
+    "zone": "a",
+    "slots": 4,
+    "state": "ready",
+    "born": 1_700_000_000_000,
+}
+CHANGES = (
+    {"address": f"{'9f' * 32}:8080"},
+    {"address": "127.0.0.1:70000"},
+    {"service": "plain", "slots": 10**400},
+    {"service": "model", "cold_remaining_ms": 10**400},
+    {"service": "plain", "zone": "\ud800"},
+    {"service": "plain", "state": []},
+    {},
+)
+TEXTS = ("[" * 4096, "", "{", *(json.dumps(ENTRY | change) for change in CHANGES))
+
+
+async def write_foreign_entries(fleet: SoakFleet, rng: random.Random) -> None:
+    """Write odd entries and drop them again, until cancelled; drop all at the end."""
+    try:
+        while True:
+            await trio.sleep(rng.uniform(*PAUSE_S))
+            row = {"table": "servers", "key": rng.choice(KEYS)}
+            if rng.random() < 0.3:
+                await fleet.control_store("/drop", **row)
+            else:
+                await fleet.control_store("/put", text=rng.choice(TEXTS), **row)
+    finally:
+        with trio.CancelScope(shield=True):
+            for key in KEYS:
+                await fleet.control_store("/drop", table="servers", key=key)
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -13,6 +13,7 @@
 
 from .disruptions import STORE, Cut, Disruptions, Evacuation
 from .fleet import Process, SoakFleet
+from .foreign_entries import write_foreign_entries
 from .limits import LimitHistory
 from .proxy import LinkFault
 
@@ -42,6 +43,7 @@
 STORE_HEALTHY = {"refuse": 0, "silent": False, "slow_s": 0.0, "lose_writes": 0}
 SILENCE_S = (0.5, 2.0)  # of a successful runner
 CALL_TIMEOUT_S = 2.0
+FOREIGN = "foreign"  # odd entries in the list, beside all other faults
 EVACUATED = "b"  # the data centre that is evacuated now and then
 
 
@@ -95,15 +97,25 @@
             "cut": self._cut_off,
             "evacuate": self._evacuate,
         }
-        self._injections = [inject_by_kind[kind] for kind in kinds or inject_by_kind]
+        self._writes_foreign_entries = not kinds or FOREIGN in kinds
+        self._injections = [
+            inject_by_kind[kind] for kind in kinds or inject_by_kind if kind != FOREIGN
+        ]
 
     async def run(self, seconds: float) -> None:
         """Inject faults for a time, and wait until they have ended."""
         end = trio.current_time() + seconds
-        async with trio.open_nursery() as nursery:
-            while trio.current_time() < end:
-                nursery.start_soon(self._rng.choice(self._injections))
-                await trio.sleep(self._rng.uniform(0.3, 1.2))
+        async with trio.open_nursery() as foreign:
+            if self._writes_foreign_entries:
+                rng = random.Random()
+                rng.setstate(self._rng.getstate())  # the other faults stay the same
+                foreign.start_soon(write_foreign_entries, self._fleet, rng)
+            async with trio.open_nursery() as nursery:
+                while trio.current_time() < end and self._injections:
+                    nursery.start_soon(self._rng.choice(self._injections))
+                    await trio.sleep(self._rng.uniform(0.3, 1.2))
+            await trio.sleep_until(end)
+            foreign.cancel_scope.cancel()
 
     async def revive_runners(self) -> None:
         """Restart each runner whose process has ended, until cancelled."""
--- a/standins/front_process.py
+++ b/standins/front_process.py
@@ -31,7 +31,8 @@
             return await self.rows.handle(connection, request)
         fields = request.json()
         if request.path == "/put":
-            self.rows.put(fields["table"], fields["key"], fields["value"])
+            value = fields["text"].encode() if "text" in fields else fields["value"]
+            self.rows.put(fields["table"], fields["key"], value)
         elif request.path == "/drop":
             self.rows.delete(fields["table"], fields["key"])
         elif request.path == "/knobs":
