A call that was not sent in time is refused, not answered 500

What callers saw: "internal error" (500) for a plain call whose time ended while it waited for its endpoint; nothing had been sent.

Cause: trio refuses to sleep or to move on after a negative time, which the time left may be by then.

Change: no attempt begins without time left; the answer says "not run" (503).

--- a/src/foxtailsaddle/forward/plain/_forwarder.py
+++ b/src/foxtailsaddle/forward/plain/_forwarder.py
@@ -21,7 +21,12 @@
     leave_reason,
     place_plain,
 )
-from ...errors import ExchangeBrokenError, NoEndpointError, NothingSentError
+from ...errors import (
+    DeadlineExceededError,
+    ExchangeBrokenError,
+    NoEndpointError,
+    NothingSentError,
+)
 from ...ports import Dispatch, HeaderCodec
 from .._data_centre_traffic import DataCentreTraffic
 from .._fleet import FleetState
@@ -104,6 +109,9 @@
             endpoint = await self._choose_admitted(context)
             if endpoint is None:
                 break
+            if context.remaining_s(trio.current_time()) <= 0:
+                error = DeadlineExceededError("no time was left for an attempt")
+                break
             context.attempts += 1
             context.tried_endpoints.append(endpoint.id)
             self._traffic.record(context)
@@ -221,7 +229,7 @@
 
     async def _attempt(self, context: RequestContext, entry: ListedEndpoint) -> _Reply:
         began_at = trio.current_time()
-        remaining_s = context.remaining_s(began_at)
+        remaining_s = max(0.0, context.remaining_s(began_at))
         dispatch = Dispatch(entry.id, remaining_s, context.account)
         with Attempt(
             self._fleet,
@@ -256,7 +264,7 @@
         While no retry is granted or there is no other endpoint, the attempt goes on:
         the endpoint may still answer.
         """
-        remaining_s = context.remaining_s(trio.current_time())
+        remaining_s = max(0.0, context.remaining_s(trio.current_time()))
         await trio.sleep(remaining_s * FIRST_ATTEMPT_TIME_SHARE)
         while not self._may_replace(context):
             await trio.sleep(CLAIM_INTERVAL_S)
--- a/tests/test_forward_requests.py
+++ b/tests/test_forward_requests.py
@@ -17,6 +17,7 @@
 )
 from foxtailsaddle.forward._admission import Admission
 from foxtailsaddle.forward._fleet import fingerprint
+from foxtailsaddle.forward.plain import PlainForwarder
 from standins.front_world import ACCOUNT, HOST, configuration
 from standins.runner import Fault
 from tests.loopback_world import eventually, in_world
@@ -274,6 +275,33 @@
         assert reply.status == 503
 
 
+class TestNoTimeLeft:
+    # Guards against an internal error (500) for a request that was not sent (soak seed
+    # 31000, on a machine that stalled).
+    @pytest.mark.parametrize("late_s", [0.0, 0.02])
+    @pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x"])
+    def test_a_request_that_was_not_sent_in_time_is_refused(self, path, late_s):
+        choose = PlainForwarder._choose_admitted
+
+        async def choose_too_late(forwarder, context):
+            endpoint = await choose(forwarder, context)
+            await trio.sleep_until(context.expires_at + late_s)
+            return endpoint
+
+        @in_world(engines=0, plain=1)
+        async def case(_, world):
+            patch = mock.patch.object(
+                PlainForwarder, "_choose_admitted", choose_too_late
+            )
+            with patch:
+                headers = {"X-Deadline-Ms": "300"}
+                reply = await world.ask(world.apps[0], path, headers=headers)
+            assert reply.status == 503
+            assert not world.runners["p0"].received
+
+        case(self)
+
+
 class TestRepeatedRequests:
     # Guards against: a call that is often repeated is refused, since endpoints crashed
     # for another reason while they ran it.
