More evacuated data centres than fit into a datagram end no heartbeat

What callers could see: an instance that sends no heartbeat any more counts as gone at all others. Cause: the length of a datagram's header has two bytes, and the names of some 330 data centres exceed them; the error ended the exchange each time.

--- a/src/foxtailsaddle/forward/peers/_headers.py
+++ b/src/foxtailsaddle/forward/peers/_headers.py
@@ -1,5 +1,6 @@
 """Encodes and decodes the headers of datagrams, and loads their schema."""
 
+import dataclasses
 import functools
 import pathlib
 import typing as t
@@ -10,13 +11,24 @@
 from ._messages import NOTHING_EVACUATED, DatagramHeader
 
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("notes.capnp")))
+MAX_HEADER_BYTES = 16_384
 
 
 # The header of an instance rarely changes, and a large fleet exchanges thousands of
 # datagrams a second.
 @functools.lru_cache(maxsize=16)
 def encode_header(header: DatagramHeader) -> bytes:
-    """Return the bytes of a header."""
+    """Return the bytes of a header, which fits into a datagram.
+
+    More data centres than fit are left out; the others know them from the store.
+    """
+    packed = _pack(header)
+    if len(packed) <= MAX_HEADER_BYTES:
+        return packed
+    return _pack(dataclasses.replace(header, evacuated=NOTHING_EVACUATED))
+
+
+def _pack(header: DatagramHeader) -> bytes:
     builder = SCHEMA.Header.new_message()
     builder.sender = header.sender
     builder.incarnation = header.incarnation
--- a/tests/test_unreadable_input.py
+++ b/tests/test_unreadable_input.py
@@ -18,6 +18,12 @@
 from foxtailsaddle._input_readers import MAX_NUMBER
 from foxtailsaddle.adapters import HttpPlatform, read_settings_file
 from foxtailsaddle.adapters._peer_codec import decode as decode_envelope
+from foxtailsaddle.core import (
+    DataCentre,
+    EvacuatedDataCentres,
+    InstanceId,
+    StoreVersion,
+)
 from foxtailsaddle.errors import (
     ExchangeBrokenError,
     FoxtailsaddleError,
@@ -26,7 +32,11 @@
     UnreadableInputError,
 )
 from foxtailsaddle.forward.peers import decode_snapshot
-from foxtailsaddle.forward.peers._datagrams import decode as decode_datagram
+from foxtailsaddle.forward.peers._datagrams import (
+    decode as decode_datagram,
+    encode as encode_datagram,
+)
+from foxtailsaddle.forward.peers._messages import NOTHING_EVACUATED, DatagramHeader
 from foxtailsaddle.platform import (
     HttpEngineControl,
     HttpStore,
@@ -331,6 +341,18 @@
         await eventually(lambda: first.peers.dropped_datagrams > 2)
         assert first.peers._sock is sock
 
+    # Guards against the end of all heartbeats because of what the operator wrote.
+    def test_more_evacuated_data_centres_than_fit_are_left_out(self):
+        names = tuple(DataCentre(f"{number:0200}") for number in range(400))
+        evacuated = EvacuatedDataCentres(StoreVersion(1, 5), names)
+        version = StoreVersion(1, 9)
+        header = DatagramHeader(
+            InstanceId("i1"), 7, "", 1, False, False, version, False
+        )
+        header = dataclasses.replace(header, evacuated=evacuated)
+        received, _ = decode_datagram(encode_datagram(header, []))
+        assert received == dataclasses.replace(header, evacuated=NOTHING_EVACUATED)
+
     # Guards against losing what else was to be sent.
     @in_world(engines=0, plain=1, instances=2)
     async def test_an_update_that_no_message_can_hold_is_left_out(self, world):
