--- a/src/foxtailsaddle/forward/plain/_forwarder.py
+++ b/src/foxtailsaddle/forward/plain/_forwarder.py
@@ -117,17 +117,11 @@
             self._traffic.record(context)
             try:
                 reply = await self._attempt(context, endpoint)
-            except (RefusedError, NothingSentError) as failure:
+            except (RefusedError, NothingSentError, ExchangeBrokenError) as failure:
                 error = failure
-                self._log_failure(context, endpoint, failure)
-                self._crash_detector.check(context, endpoint, failure)
-                continue
-            except ExchangeBrokenError as failure:
-                error = failure
-                self._log_failure(context, endpoint, failure)
-                if not isinstance(failure, EndpointSilentError):
-                    self._crash_detector.check(context, endpoint, failure)
-                if not context.route.repeatable:
+                self._record_failure(context, endpoint, failure)
+                may_have_run = isinstance(failure, ExchangeBrokenError)
+                if may_have_run and not context.route.repeatable:
                     break
                 continue
             if (
@@ -143,6 +137,14 @@
             self._fleet, context, error, trio.current_time(), RETRY_AFTER_S
         )
 
+    def _record_failure(
+        self, context: RequestContext, endpoint: ListedEndpoint, failure: Exception
+    ) -> None:
+        """Log why an attempt failed, and check whether its endpoint crashed."""
+        self._log_failure(context, endpoint, failure)
+        if not isinstance(failure, EndpointSilentError):
+            self._crash_detector.check(context, endpoint, failure)
+
     def _log_failure(
         self, context: RequestContext, endpoint: ListedEndpoint, error: Exception
     ) -> None:
