Rows of other parts of a table are no entries of the list

What callers could see: requests to a runner that drains, or none to one that is ready, while another program keeps a row with its key in another part of the table.

Cause: a feed returns the rows of all parts, and the part was not looked at; a full read asks for the empty one. Change: rows of other parts are left out; their versions still count.

--- a/src/foxtailsaddle/platform/_store.py
+++ b/src/foxtailsaddle/platform/_store.py
@@ -147,8 +147,9 @@
     fields = _decode_json(reply)
     era = _decode_era(reply)
     with reading("malformed rows of the store", PlatformUnavailableError):
+        items = fields.get("rows", ())  # a feed returns those of all parts
         page = _Page(
-            rows=[_decode_row(item, era) for item in fields.get("rows", ())],
+            rows=[_decode_row(item, era) for item in items if not item.get("part")],
             version=StoreVersion(era, read_int(fields["ver"])),
             now_ms=read_count(fields["now_ms"]),
             has_more=bool(fields.get("more_pages")),
