Times of a job are finite, and an odd error is told to operators as such

A job whose times are no finite numbers made the load of its engine incomparable with any other; its datagram is dropped and counted now. An operator's command ended with a traceback when an instance answered an error in another form.

--- a/src/foxtailsaddle/_input_readers.py
+++ b/src/foxtailsaddle/_input_readers.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import json
+import math
 import re
 import typing as t
 
@@ -78,6 +79,16 @@
     return value
 
 
+def read_finite(value: float) -> float:
+    """Return a number of a message.
+
+    :raises UnreadableInputError: it is infinite, or no number.
+    """
+    if not math.isfinite(value):
+        raise UnreadableInputError("not a finite number")
+    return value
+
+
 def read_int(value: t.Any, low: int = 0, high: int = MAX_NUMBER) -> int:
     """Return an integer from ``low`` to ``high``.
 
--- a/src/foxtailsaddle/adapters/_operator_client.py
+++ b/src/foxtailsaddle/adapters/_operator_client.py
@@ -99,8 +99,9 @@
         what = f'answer {response.status} of "{self._url}{path}"'
         with reading(what, ExchangeBrokenError):
             answer = read_json(body)
-        if response.status >= 400:
-            raise RemoteError(answer)
+            error = RemoteError(answer) if response.status >= 400 else None
+        if error is not None:
+            raise error
         return answer
 
 
--- a/src/foxtailsaddle/forward/peers/_datagrams.py
+++ b/src/foxtailsaddle/forward/peers/_datagrams.py
@@ -4,7 +4,7 @@
 
 import capnp
 
-from ..._input_readers import reading
+from ..._input_readers import read_finite, reading
 from ...core import (
     AccountHash,
     AttemptOutcome,
@@ -149,9 +149,9 @@
         helpers=tuple(EndpointId(helper) for helper in reader.helpers),
         prompt_tokens=reader.promptTokens,
         output_tokens=reader.outputTokens,
-        part_ms=reader.partMs,
-        gap_ms=reader.gapMs,
-        weight=reader.weight,
+        part_ms=read_finite(reader.partMs),
+        gap_ms=read_finite(reader.gapMs),
+        weight=read_finite(reader.weight),
         reserved_by_endpoint={
             EndpointId(held.endpoint): held.tokens for held in reader.held
         },
@@ -160,7 +160,7 @@
         account=AccountHash(reader.account),
         is_less_urgent=reader.lessUrgent,
     )
-    return JobPlaced(job, reader.writingMs)
+    return JobPlaced(job, read_finite(reader.writingMs))
 
 
 def _write_began(item: t.Any, update: JobBegan) -> None:
@@ -191,7 +191,7 @@
 
 
 def _read_slowdown_changed(_: InstanceId, item: t.Any) -> SlowdownChanged:
-    return SlowdownChanged(EndpointId(item.pace.endpoint), item.pace.pace)
+    return SlowdownChanged(EndpointId(item.pace.endpoint), read_finite(item.pace.pace))
 
 
 def _write_died(item: t.Any, update: EndpointDied) -> None:
--- a/tests/test_unreadable_input.py
+++ b/tests/test_unreadable_input.py
@@ -4,6 +4,7 @@
 affect anything beside it.
 """
 
+import base64
 import contextlib
 import dataclasses
 import functools
@@ -16,12 +17,19 @@
 from hypothesis import strategies as st
 
 from foxtailsaddle._input_readers import MAX_NUMBER
-from foxtailsaddle.adapters import HttpPlatform, read_settings_file
+from foxtailsaddle.adapters import (
+    HttpPlatform,
+    OperatorClient,
+    read_settings_file,
+)
 from foxtailsaddle.adapters._peer_codec import decode as decode_envelope
 from foxtailsaddle.core import (
     DataCentre,
+    EndpointId,
     EvacuatedDataCentres,
     InstanceId,
+    Job,
+    JobId,
     StoreVersion,
 )
 from foxtailsaddle.errors import (
@@ -36,7 +44,11 @@
     decode as decode_datagram,
     encode as encode_datagram,
 )
-from foxtailsaddle.forward.peers._messages import NOTHING_EVACUATED, DatagramHeader
+from foxtailsaddle.forward.peers._messages import (
+    NOTHING_EVACUATED,
+    DatagramHeader,
+    JobPlaced,
+)
 from foxtailsaddle.platform import (
     HttpEngineControl,
     HttpStore,
@@ -174,6 +186,25 @@
         await eventually(lambda: "p9" in app.fleet.endpoints, 5.0)
 
 
+class TestPartsOfATable:
+    # Guards against an entry of another part of the table that replaces a runner's own.
+    @in_world(engines=0, plain=1, instances=1)
+    async def test_rows_of_other_parts_are_others(self, world):
+        draining = world.runners["p0"].entry(state="draining")
+        row = {
+            "table": "servers",
+            "part": "archive",
+            "key": "p0",
+            "ver": 99,
+            "value": base64.b64encode(json.dumps(draining).encode()).decode(),
+        }
+        fields = {"rows": [row], "ver": 99, "now_ms": 1}
+        store = HttpStore(FixedHttpClient(json.dumps(fields).encode()))
+        rows = await store.changes("servers", StoreVersion(0, 98), 0.1)
+        assert rows.rows == []
+        assert rows.version.number == 99
+
+
 class TestConfiguration:
     @pytest.mark.parametrize("value", ODD_BYTES)
     def test_odd_bytes_are_refused(self, value):
@@ -353,6 +384,26 @@
         received, _ = decode_datagram(encode_datagram(header, []))
         assert received == dataclasses.replace(header, evacuated=NOTHING_EVACUATED)
 
+    # Guards against a load that no engine can be compared with any more.
+    @pytest.mark.parametrize("value", [math.nan, math.inf])
+    def test_a_job_without_finite_times_is_unreadable(self, value):
+        job = Job(
+            id=JobId(1),
+            origin=InstanceId("i1"),
+            endpoint=EndpointId("e0"),
+            helpers=(),
+            prompt_tokens=1,
+            output_tokens=1,
+            part_ms=value,
+            gap_ms=0.0,
+            weight=0.0,
+        )
+        header = DatagramHeader(
+            InstanceId("i1"), 7, "", 1, False, False, StoreVersion(1, 9), False
+        )
+        with pytest.raises(UnreadableInputError):
+            decode_datagram(encode_datagram(header, [JobPlaced(job, 1.0)]))
+
     # Guards against losing what else was to be sent.
     @in_world(engines=0, plain=1, instances=2)
     async def test_an_update_that_no_message_can_hold_is_left_out(self, world):
@@ -442,6 +493,13 @@
         platform = HttpPlatform(FixedClient(200, body), "http://platform")
         assert [item.id for item in trio.run(platform.instances)] == ["i2"]
 
+    # Guards against a traceback in place of what the instance answered.
+    @pytest.mark.parametrize("body", [b"[]", b"{}", b'{"detail": 7}', NESTED])
+    def test_an_odd_error_of_an_instance_is_told_as_such(self, body):
+        client = OperatorClient(FixedClient(500, body), "http://i1", "key")
+        with pytest.raises(ExchangeBrokenError):
+            trio.run(client.settings)
+
     @pytest.mark.parametrize("text", [b"\xff\xfe", b"a: [", b"[" * 3000, b"x: {" * 999])
     def test_an_odd_settings_file_is_refused(self, tmp_path, text):
         path = tmp_path / "odd.yaml"
