Soak: a crash during a stream that is unframed by a fault looks like its end, too

Trace: engine e3 got the one-shot fault "unframed", so the end of the connection is the end of the stream; the stream's own prompt crashed e3 at 3315.06, 0.08 s after it began, and the proxy ended the connection in an orderly way behind the second event. The check allowed this case already for engines whose framing was changed; the fault "unframed" has the same effect and was not counted. Nothing else is allowed by it.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -195,6 +195,8 @@
         name = self._pick_runner()
         fault = self._rng.choice(RUNNER_FAULTS)
         self._record_fault(f"runner {name}: {fault}")
+        if fault == "unframed":
+            self.unframed_runners.add(name)
         with _ended_runner():
             await self._fleet.set_runner_faults(name, [fault] * self._rng.randint(1, 6))
 
