Instances that start are told the deaths of requests that still count

Cause: that an endpoint crashed under a request was sent once. What an instance that has appeared is told (updates_for) named jobs, limits and parts of prompts, not these deaths. A death that another instance reported also counted for 120 s from the report, not from the crash.

Change: deaths are among what an instance that appears, or is heard again, is told, with their age; at most 60, most deaths first. They count for the rest of their time.

--- a/src/foxtailsaddle/core/_crashes.py
+++ b/src/foxtailsaddle/core/_crashes.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import typing as t
 
 MAX_DEATHS = 2
 COPY_RETRY_S = 1.0  # until a copy is tried again while too many are running
@@ -22,8 +23,8 @@
     :ivar expires_at: when the whole record can be dropped.
     """
 
-    expiry_by_death: dict[str, float] = dataclasses.field(default_factory=dict)
-    cleared_deaths: set[str] = dataclasses.field(default_factory=set)
+    expiry_by_death: dict[t.Hashable, float] = dataclasses.field(default_factory=dict)
+    cleared_deaths: set[t.Hashable] = dataclasses.field(default_factory=set)
     end_by_copy: dict[str, float] = dataclasses.field(default_factory=dict)
     expires_at: float = 0.0
 
@@ -44,7 +45,11 @@
         return len(self._record_by_fingerprint)
 
     def record_death(
-        self, fingerprint: str, death: str, now: float, left_s: float | None = None
+        self,
+        fingerprint: str,
+        death: t.Hashable,
+        now: float,
+        left_s: float | None = None,
     ) -> None:
         """Record that an endpoint died while it ran the request.
 
@@ -54,12 +59,14 @@
             With a fresh period for each report, peers that exchange reports
             would never let a death expire.
         """
+        expires_at = now + (self._memory_s if left_s is None else left_s)
+        if expires_at <= now:
+            return
         record = self._record_by_fingerprint.setdefault(
             fingerprint, _FingerprintRecord()
         )
         if death in record.cleared_deaths:
             return
-        expires_at = now + (self._memory_s if left_s is None else left_s)
         record.expiry_by_death[death] = min(
             expires_at, record.expiry_by_death.get(death, expires_at)
         )
@@ -128,13 +135,21 @@
         record.expiry_by_death.clear()
         return True
 
-    def suspicions(self, now: float) -> list[tuple[str, str, float]]:
-        """Return (fingerprint, death, seconds left) of all deaths, for peers."""
+    def suspicions(self, now: float) -> list[tuple[str, t.Any, float]]:
+        """Return (fingerprint, death, seconds left) of all deaths, for peers.
+
+        The fingerprints with most deaths come first.
+        """
         for fingerprint in list(self._record_by_fingerprint):
             self._current_record(fingerprint, now)
+        records = sorted(
+            self._record_by_fingerprint.items(),
+            key=lambda item: len(item[1].expiry_by_death),
+            reverse=True,
+        )
         return [
             (fingerprint, death, expires_at - now)
-            for fingerprint, record in self._record_by_fingerprint.items()
+            for fingerprint, record in records
             for death, expires_at in sorted(record.expiry_by_death.items())
         ]
 
--- a/src/foxtailsaddle/core/_prompt_part_guard.py
+++ b/src/foxtailsaddle/core/_prompt_part_guard.py
@@ -39,7 +39,7 @@
 MAX_VOUCHED_PARTS = 64
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
 class CrashId:
     """Names one crash of an engine, however many instances report it.
 
--- a/src/foxtailsaddle/forward/_fleet.py
+++ b/src/foxtailsaddle/forward/_fleet.py
@@ -311,8 +311,8 @@
     def apply_death(self, death: EndpointDeath, now: float) -> None:
         """Record that an endpoint crashed during a request of any instance."""
         crash = death.crash
-        incarnation = f"{crash.endpoint}@{crash.start}"
-        self.crash_guard.record_death(death.fingerprint, incarnation, now)
+        left_s = DEATH_MEMORY_S - max(0.0, death.age_s)
+        self.crash_guard.record_death(death.fingerprint, crash, now, left_s)
         if death.suspects:
             self.part_guard.record_crash(crash, death.suspects, now, death.age_s)
 
--- a/src/foxtailsaddle/forward/peers/_own_state.py
+++ b/src/foxtailsaddle/forward/peers/_own_state.py
@@ -4,13 +4,22 @@
 
 import trio
 
-from ...core import EndpointId, InstanceId
-from .._fleet import FleetState
+from ...core import EndpointDeath, EndpointId, InstanceId
+from .._fleet import DEATH_MEMORY_S, FleetState
 from ._audiences import JobAudiences
-from ._messages import JobBegan, JobPlaced, PartRefused, PartsCleared, Update
+from ._messages import (
+    EndpointDied,
+    JobBegan,
+    JobPlaced,
+    PartRefused,
+    PartsCleared,
+    Update,
+)
 from ._outbox import limit_update
 from ._peer import Peer
 
+MAX_SENT_DEATHS = 60
+
 
 def refusals(fleet: FleetState) -> list[Update]:
     """Return the parts of prompts that are refused at present."""
@@ -30,10 +39,20 @@
     ]
 
 
+def remembered_deaths(fleet: FleetState) -> list[Update]:
+    """Return the crashes that still count against requests, with their age."""
+    suspicions = fleet.crash_guard.suspicions(trio.current_time())
+    return [
+        EndpointDied(EndpointDeath(fingerprint, crash, age_s=DEATH_MEMORY_S - left_s))
+        for fingerprint, crash, left_s in suspicions[:MAX_SENT_DEATHS]
+    ]
+
+
 def updates_for(peer: Peer, fleet: FleetState, audiences: JobAudiences) -> list[Update]:
-    """Return this instance's jobs, and what it knows of parts and limits."""
+    """Return this instance's jobs, and what it knows of crashes, parts and limits."""
     now = trio.current_time()
     updates = refusals(fleet)
+    updates += remembered_deaths(fleet)
     updates += [limit_update(limit, now) for limit in fleet.listed_limits()]
     vouched_parts = fleet.part_guard.vouched_parts(now)
     if vouched_parts:
