An instance left alone is its own evidence while it reaches endpoints

Cause: a refused connection was evidence of a crash if another instance confirmed it or none was known.

While another one is heard, that one is asked, as before. An instance that reaches no endpoint counts nothing.

--- a/src/foxtailsaddle/core/_endpoint_paths.py
+++ b/src/foxtailsaddle/core/_endpoint_paths.py
@@ -72,6 +72,10 @@
         """Return whether a silence or a failed connection is the endpoint's own."""
         return not self.is_cut(address) and now - self._reached_at <= FRESH_S
 
+    def was_any_reached(self, since: float) -> bool:
+        """Return whether an endpoint was reached directly since some time."""
+        return self._reached_at >= since
+
     def cut_addresses(self) -> list[str]:
         """Return the endpoints whose direct path is cut."""
         return list(self._cut_at_by_address)
--- a/src/foxtailsaddle/forward/paths/_connector.py
+++ b/src/foxtailsaddle/forward/paths/_connector.py
@@ -105,7 +105,8 @@
         else:
             await self._run_race(address, ends_at, race)
         if race.connection is None:
-            raise self._error(address, race)
+            is_sound = await self._decides_alone(address, ends_at - timeout_s, ends_at)
+            raise self._error(address, race, is_sound)
         if race.relay is not None:
             self._record_relayed(address, race)
         return race.connection
@@ -136,6 +137,41 @@
             chosen += random.sample(others, min(MAX_CHECKED, len(others)))
         return chosen
 
+    async def _decides_alone(
+        self, address: str, began_at: float, ends_at: float
+    ) -> bool:
+        """Return whether what this instance sees of an endpoint needs no confirmation.
+
+        While it hears no other instance, it may be cut off from endpoints, too, unless
+        it reaches another one at the same time.
+
+        :param began_at: when it began to connect to the endpoint.
+        """
+        if not self._peers.has_relays():
+            return True
+        if self._peers.live():
+            return False
+        with trio.move_on_at(ends_at):
+            await self._reach_another(address, began_at)
+        return self._fleet.paths.was_any_reached(began_at)
+
+    async def _reach_another(self, address: str, since: float) -> None:
+        """Connect to some other endpoints, unless one was reached already."""
+        paths = self._fleet.paths
+        listed = {entry.address for entry in self._fleet.configured_endpoints()}
+        others = sorted(listed.difference(paths.cut_addresses(), [address]))
+        if paths.was_any_reached(since):
+            return
+        async with trio.open_nursery() as nursery:
+
+            async def probe(other: str) -> None:
+                await self._probe(other)
+                if paths.was_any_reached(since):
+                    nursery.cancel_scope.cancel()
+
+            for other in random.sample(others, min(MAX_CHECKED, len(others))):
+                nursery.start_soon(probe, other)
+
     async def _probe(self, address: str) -> None:
         if self._fleet.endpoints.at_address(address) is None:
             self._fleet.paths.forget(address)
@@ -309,12 +345,11 @@
         self._paused_until_by_process[peer.incarnation] = now + RELAY_PAUSE_S
         logger.info("paths: not relayed", extra={"peer": peer.id, "why": reason})
 
-    def _error(self, address: str, race: _Race) -> NothingSentError:
+    def _error(self, address: str, race: _Race, is_sound: bool) -> NothingSentError:
         """Return the error of a connection that could not be established.
 
         It says that the process of the endpoint has ended only if another instance
-        finds that too, or no other is known: one that hears no other may be cut off
-        from endpoints, too.
+        finds that too, or this instance's own view is sound.
         """
         own_error = race.direct_error or race.relay_error
         if race.relay_error is not None:
@@ -322,10 +357,9 @@
             message = f'"{address}" could not be reached, nor by another instance'
             return NothingSentError(message, connection_refused=is_refused)
         message = own_error.message if own_error else f'"{address}" was not reached'
-        is_alone = not self._peers.has_relays()
         is_refused = own_error is not None and own_error.connection_refused
         return NothingSentError(
-            message, connection_refused=is_refused and is_alone, is_confirmed=is_alone
+            message, connection_refused=is_refused and is_sound, is_confirmed=is_sound
         )
 
     def _remember_down(self, address: str) -> None:
--- a/tests/test_lasting_crash_evidence.py
+++ b/tests/test_lasting_crash_evidence.py
@@ -1,14 +1,17 @@
-"""Tests that crashes still count where instances start or come back."""
+"""Tests that crashes still count where instances start, come back or are left alone."""
 
 import trio
 
 from foxtailsaddle.core import CrashGuard, CrashId, EndpointDeath, EndpointId
 from foxtailsaddle.forward._fleet import DEATH_MEMORY_S, MAX_DEATHS, fingerprint
+from standins.cuts import CutKind
 from standins.front_world import ACCOUNT
+from standins.runner import Fault
 from tests.loopback_world import eventually, in_world
 
 TARGET = "/unsafe/x"
 DIGEST = fingerprint(ACCOUNT, TARGET, b"")
+NOT_HEARD_S = 6.0  # after its end, until an instance counts as not heard
 
 
 def deaths(app):
@@ -67,6 +70,38 @@
         await eventually(lambda: deaths(second) == 1)
 
 
+class TestInstanceLeftAlone:
+    """One that hears no other one is its own evidence while it reaches endpoints."""
+
+    # Guards against: the last instance of several never refuses a request that crashes
+    # its endpoints, since no other one confirms a crash (review/3, BUDGET).
+    @in_world(engines=0, plain=3, instances=2)
+    async def test_a_refused_connection_is_a_crash(self, world):
+        app, other = world.apps
+        await eventually(lambda: app.peers.live())
+        world.kill(other)
+        await eventually(lambda: not app.peers.live(), NOT_HEARD_S)
+        world.runners["p0"].fault = Fault.DIE
+        assert (await world.ask(app, TARGET)).status == 502
+        await eventually(lambda: deaths(app) == 1)
+
+    # Guards against: crashes that are seen in a cut of all paths to endpoints.
+    @in_world(engines=0, plain=3, instances=2)
+    async def test_it_is_none_while_no_endpoint_is_reached(self, world):
+        app, other = world.apps
+        await eventually(lambda: app.peers.live())
+        world.kill(other)
+        await eventually(lambda: not app.peers.live(), NOT_HEARD_S)
+        for runner in world.runners.values():
+            runner.work_s = 0.5
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(world.ask, app, TARGET)
+            await trio.sleep(0.2)
+            world.cut_off(app, CutKind.RESET)
+        await trio.sleep(1.0)
+        assert deaths(app) == 0
+
+
 class TestRemainingTime:
     """Deaths that others report count for the rest of their time."""
 
