Rows of one version of the list are one unit

Cause: all messages on one answer of the store named the same version before them, so a receiver accepted a later one although an earlier one was lost. All rows of one transaction have one version: after the first of them the rest were dropped as known. A datagram of more than 65,507 bytes was not sent and only logged at debug level.

Evidence: test_list_changes on the code before: of four endpoints that began to drain in one transaction, others learnt of one; with one datagram of two lost, never of the rest.

Change: a message says how many rows its version has and which version comes before; a version is taken with all its rows or not at all. An instance reads the store if it is still behind, not after each change. Updates that are too long for one datagram are sent one by one; one that fits into none is logged and counted. New: missed_list_changes, unsent_datagrams, 'list: changes missed'.

--- a/src/foxtailsaddle/forward/_application.py
+++ b/src/foxtailsaddle/forward/_application.py
@@ -386,6 +386,9 @@
         self.metrics.set("relayed", self.relay_server.open_connections)
         self.metrics.set("dropped_updates", self.peers.outbox.dropped_updates)
         self.metrics.set("dropped_datagrams", self.peers.dropped_datagrams)
+        self.metrics.set("unsent_datagrams", self.peers.unsent_datagrams)
+        missed = self.store_sync.missed_list_changes
+        self.metrics.set("missed_list_changes", missed)
         unreadable = self.store_sync.list_rows.unreadable_keys
         self.metrics.set("unreadable_entries", len(unreadable))
         body, content_type = self.metrics.render()
--- a/src/foxtailsaddle/forward/peers/_datagrams.py
+++ b/src/foxtailsaddle/forward/peers/_datagrams.py
@@ -307,13 +307,15 @@
     builder.key = update.row.key
     builder.value = update.row.value
     builder.removed = update.row.removed
+    builder.count = update.count
 
 
 def _read_listed(_: InstanceId, item: t.Any) -> ListChanged:
     reader = item.listed
     version = StoreVersion(reader.era, reader.version)
     row = StoredRow(reader.key, bytes(reader.value), version, reader.removed)
-    return ListChanged(StoreVersion(reader.era, reader.after), row)
+    after = StoreVersion(reader.era, reader.after)
+    return ListChanged(after, row, reader.count)
 
 
 def _write_configuration(item: t.Any, update: ConfigurationChanged) -> None:
--- a/src/foxtailsaddle/forward/peers/_messages.py
+++ b/src/foxtailsaddle/forward/peers/_messages.py
@@ -161,12 +161,15 @@
 class ListChanged:
     """An entry of the list of endpoints has changed.
 
-    :param after: version of the change before this one, of the same era as the row.
+    :param after: version before that of the row, of the same era.
     :param row: the entry as it is stored.
+    :param count: number of entries that have changed in the version of the row; 0 from
+        an instance of an earlier build.
     """
 
     after: StoreVersion
     row: StoredRow
+    count: int = 0
 
 
 Update = (
--- a/src/foxtailsaddle/forward/peers/_peers.py
+++ b/src/foxtailsaddle/forward/peers/_peers.py
@@ -20,6 +20,7 @@
 from .._fleet import FleetState
 from ._audiences import JobAudiences, shares_engines
 from ._datagrams import decode, encode
+from ._fitting import encode_fitting, send_fitting
 from ._messages import (
     NO_VERSION,
     DatagramHeader,
@@ -58,6 +59,7 @@
     :ivar cut_off: this instance reaches no endpoint itself.
     :ivar updates: applies what peers send.
     :ivar dropped_datagrams: number of datagrams that could not be read or applied.
+    :ivar unsent_datagrams: number of datagrams that the network didn't take.
     :ivar outbox: updates about this instance's work, which are sent to all others.
     :ivar on_datagram_received: called with the sender of each datagram, before the
         updates in it are applied.
@@ -89,6 +91,7 @@
         self.cut_off = False
         self.reads_store = False
         self.dropped_datagrams = 0
+        self.unsent_datagrams = 0
         self.list_version = NO_VERSION
         self.updates = PeerUpdates(fleet)
         self.on_datagram_received: t.Callable[[Peer], None] = lambda _: None
@@ -186,7 +189,7 @@
         """Send an update to one other instance at once."""
         peer = self._peer_by_id.get(instance)
         if peer is not None:
-            self._send(peer.address, [update], wants_reply=False)
+            self._send_all([update], peer.address)
 
     def known_ids(self) -> list[InstanceId]:
         """Return the other instances that are known, also those not heard yet."""
@@ -216,21 +219,10 @@
         while True:
             await self.outbox.wait()
             while updates := self.outbox.take(UPDATES_PER_DATAGRAM):
-                self._send_all_that_fit(updates)
+                unsent = send_fitting(updates, self._send_to_audiences)
+                self.outbox.dropped_updates += unsent
 
-    def _send_all_that_fit(self, updates: list[Update]) -> None:
-        """Send updates; one that no message can hold is left out."""
-        try:
-            self._send_to_audiences(updates)
-        except Exception:
-            if len(updates) == 1:
-                self.outbox.dropped_updates += 1
-                logger.exception("peers: update not sent")
-                return
-            for update in updates:
-                self._send_all_that_fit([update])
-
-    def _send_to_audiences(self, updates: list[Update]) -> None:
+    def _send_to_audiences(self, updates: t.Sequence[Update]) -> None:
         """Send updates; those on jobs go to the instances that share their engines."""
         for_all: list[Update] = []
         for update in updates:
@@ -239,7 +231,7 @@
                 for_all.append(update)
                 continue
             header = dataclasses.replace(self._new_header(False), control_address="")
-            data = encode(header, [update])
+            data = encode_fitting(header, [update])
             for peer in self.live():
                 if shares_engines(peer, cells):
                     self._send_bytes(peer.address, data)
@@ -334,7 +326,7 @@
         header = self._new_header(False)
         if updates:
             header = dataclasses.replace(header, control_address="")
-        data = encode(header, updates)
+        data = encode_fitting(header, updates)
         for peer in self._peer_by_id.values():
             if not updates or self._is_live(peer):
                 self._send_bytes(peer.address, data)
@@ -342,7 +334,8 @@
     def _send(
         self, address: tuple[str, int], updates: t.Sequence[Update], wants_reply: bool
     ) -> None:
-        self._send_bytes(address, encode(self._new_header(wants_reply), updates))
+        data = encode_fitting(self._new_header(wants_reply), updates)
+        self._send_bytes(address, data)
 
     def _send_bytes(self, address: tuple[str, int], data: bytes) -> None:
         if self._sock is None:
@@ -350,6 +343,7 @@
         try:
             self._sock._sock.sendto(data, address)
         except OSError as error:
+            self.unsent_datagrams += 1
             logger.debug("peers: datagram not sent", extra={"error": str(error)})
 
     def _new_header(self, wants_reply: bool) -> DatagramHeader:
@@ -437,8 +431,15 @@
             self._send(address, [], wants_reply=False)
 
     def _send_own_state(self, peer: Peer) -> None:
-        """Send running jobs and the evidence on parts to a peer that has appeared."""
+        """Send running jobs and the evidence on crashes to a peer that has appeared."""
         updates = updates_for(peer, self._fleet, self._audiences)
         for start in range(0, max(1, len(updates)), UPDATES_PER_DATAGRAM):
             batch = updates[start : start + UPDATES_PER_DATAGRAM]
-            self._send(peer.address, batch, wants_reply=False)
+            self._send_all(batch, peer.address)
+
+    def _send_all(self, updates: t.Sequence[Update], address: tuple[str, int]) -> None:
+        """Send updates to one address, in several datagrams if they are too long."""
+        unsent = send_fitting(
+            updates, lambda some: self._send(address, some, wants_reply=False)
+        )
+        self.outbox.dropped_updates += unsent
--- a/src/foxtailsaddle/forward/peers/notes.capnp
+++ b/src/foxtailsaddle/forward/peers/notes.capnp
@@ -92,6 +92,7 @@
   value @3 :Data;
   removed @4 :Bool;
   era @5 :UInt32;  # of both versions
+  count @6 :UInt32;  # of the entries of this version
 }
 
 struct Death {
--- a/src/foxtailsaddle/forward/store/_sync.py
+++ b/src/foxtailsaddle/forward/store/_sync.py
@@ -20,6 +20,7 @@
 from .._fleet import FleetState
 from ..peers import ListChanged, Peer, Peers, Snapshot
 from ._configuration_sync import ConfigurationSync
+from ._list_changes import ListChangeCollector, changes_after
 from ._list_rows import ListRowReader
 from ._registration import InstanceRegistration
 from ._snapshots import fetch_snapshot
@@ -52,6 +53,8 @@
         must know again what has changed.
     :param drain_timeout_s: seconds within which all instances must know of an endpoint
         that drains.
+    :ivar missed_list_changes: how often the list was read from the store, since changes
+        that others sent had not arrived.
     """
 
     def __init__(
@@ -73,7 +76,9 @@
         self._was_connected = False
         self._era: int | None = None
         self.list_rows = ListRowReader(schema)
+        self._list_changes = ListChangeCollector()
         self._list_behind_since: float | None = None
+        self.missed_list_changes = 0
         self._started_at: float | None = None
         self._configuration = ConfigurationSync(
             fleet,
@@ -199,6 +204,11 @@
         if is_ahead and self._list_behind_since is None:
             self._list_behind_since = trio.current_time()
 
+    def _is_list_behind(self) -> bool:
+        """Return whether a reader has a later list."""
+        known = self._peers.list_version
+        return any(peer.list_version > known for peer in self._peers.store_readers())
+
     def _apply_configuration_rows(self, rows: StoredRows, is_full: bool) -> None:
         self._registration.record_clock(rows.now_ms)
         self._configuration.apply_rows(rows, is_full)
@@ -220,13 +230,13 @@
         if is_full:
             self._replace_list(rows.rows, rows.version)
         is_sender = self._peers.reads_store and self._is_first_reader()
+        sent_rows = []
         for row in () if is_full else rows.rows:
             is_usable = self._apply_list_row(row)
-            if is_sender and row.version > self._peers.list_version:
-                sent_row = row if is_usable else _without_value(row)
-                self._peers.outbox.notify_list_changed(
-                    ListChanged(self._peers.list_version, sent_row)
-                )
+            sent_rows.append(row if is_usable else _without_value(row))
+        if is_sender:
+            for change in changes_after(self._peers.list_version, sent_rows):
+                self._peers.outbox.notify_list_changed(change)
         known_versions = [
             row.version for row in rows.rows if row.version <= rows.version
         ]
@@ -243,17 +253,18 @@
         self._list_behind_since = None
 
     def _apply_list_change(self, change: ListChanged) -> None:
-        """Apply a change that a reader sent, unless an earlier change was missed."""
-        if change.row.version <= self._peers.list_version:
+        """Apply a change that a reader sent, unless a part of it was missed."""
+        if self.list_follower.version is None:
             return
-        if (
-            change.after > self._peers.list_version
-            or self.list_follower.version is None
-        ):
+        rows = self._list_changes.add(change, self._peers.list_version)
+        if not rows:
             return
-        self._apply_list_row(change.row)
+        for row in rows:
+            self._apply_list_row(row)
         self._peers.list_version = change.row.version
         self.list_follower.version = max(self.list_follower.version, change.row.version)
+        if not self._is_list_behind():
+            self._list_behind_since = None
 
     def _apply_list_row(self, row: StoredRow) -> bool:
         """Apply a row; return whether it names an endpoint to use."""
@@ -334,11 +345,25 @@
                 or self.configuration_follower.is_disconnected
             )
             self._peers.reads_store = not (is_disconnected or self._others_read_store())
-            if self._list_behind_since is None:
-                continue
-            if now - self._list_behind_since > self._list_lag_s:
-                self._list_behind_since = None
-                self.list_follower.request_read()
+            self._read_missed_changes(now)
+
+    def _read_missed_changes(self, now: float) -> None:
+        """Read the list if changes that a reader has don't arrive."""
+        since = self._list_behind_since
+        if since is None or now - since <= self._list_lag_s:
+            return
+        self._list_behind_since = None
+        if not self._is_list_behind():
+            return
+        self.missed_list_changes += 1
+        self.list_follower.request_read()
+        logger.info(
+            "list: changes missed",
+            extra={
+                "version": self._peers.list_version.number,
+                "behind_ms": round((now - since) * 1000),
+            },
+        )
 
     async def _copy_list_while_disconnected(self) -> None:
         """Copy the list from a reader while this instance can't reach the store.
