Soak: datagrams between instances are lost, doubled and delayed

Until now they all arrived, since everything runs on loopback.

New promise: when nothing disturbs them any more, all instances that answer know the same configuration, entries of the list and evacuations.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from foxtailsaddle.errors import FoxtailsaddleError
 
+from .agreement import disagreements
 from .callers import Caller, RequestRecord
 from .disruptions import Disruptions
 from .endpoint_promises import broken_endpoint_promises
@@ -24,6 +25,8 @@
 DISRUPTION_GRACE_S = 4.0
 # Time for requests to end and reservations to be released before the check.
 SETTLE_S = 6.0
+FEW_INSTANCES = 3  # all of them read the store
+MORE_INSTANCES = 5
 # Kinds of fault beside which every request can be served in time.
 SILENT_KINDS = {"silence", "limits", "configuration", "reload"}
 
@@ -58,8 +61,9 @@
             self.folder,
             engines=4 * size,
             plain=3,
-            instances=3,
+            instances=FEW_INSTANCES if seed % 2 == 0 else MORE_INSTANCES,
             older_build=pathlib.Path(older_build).resolve() if older_build else None,
+            losses=seed,
         )
         self.history: list[RequestRecord] = []
         self._disruptions = Disruptions(DISRUPTION_GRACE_S)
@@ -86,7 +90,11 @@
                     requests.cancel_scope.cancel()
                 await trio.sleep(SETTLE_S)
                 evidence = await self._gather_evidence()
-                return broken_promises(evidence) + broken_endpoint_promises(evidence)
+                return [
+                    *broken_promises(evidence),
+                    *broken_endpoint_promises(evidence),
+                    *disagreements(await self.fleet.knowledge()),
+                ]
             finally:
                 self.fleet.stop()
                 nursery.cancel_scope.cancel()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -21,6 +21,7 @@
 from standins.cuts import write_cut
 from standins.front_world import configuration
 
+from .agreement import Knowledge, read_knowledge
 from .proxy import Link
 from .runner_events import RunnerEventRecord, read_events
 
@@ -113,10 +114,12 @@
     :param plain: number of runners of the service ``plain``.
     :param instances: number of instances.
     :param older_build: a checkout of an earlier build that instances run by turns.
+    :param losses: seed of the losses of datagrams between instances; 0 for none.
     :ivar runner_services: service of each runner.
     :ivar past_runner_ids: ids of the runners that have ended.
     :ivar links: proxies in front of the runners and the store, by name.
     :ivar front_addresses: host and port of the front listener of each instance.
+    :ivar control_addresses: address of the internal listener of each instance.
     :ivar ready_addresses: address of the readiness listener of each instance.
     """
 
@@ -127,8 +130,10 @@
         plain: int,
         instances: int,
         older_build: pathlib.Path | None = None,
+        losses: int = 0,
     ):
         self._folder = folder
+        self._losses = losses
         self._older_build = older_build
         self._engines = engines
         self._plain = plain
@@ -143,6 +148,7 @@
         self._starts_by_name: collections.Counter[str] = collections.Counter()
         self.links: dict[str, Link] = {}
         self.front_addresses: dict[str, tuple[str, int]] = {}
+        self.control_addresses: dict[str, str] = {}
         self.ready_addresses: dict[str, str] = {}
         self.processes: dict[str, Process] = {}
 
@@ -221,6 +227,14 @@
         )
         return json.loads(reply.body)["tickets"]
 
+    async def knowledge(self) -> dict[str, Knowledge]:
+        """Return what each instance that answers knows."""
+        known = {
+            name: await read_knowledge(address)
+            for name, address in self.control_addresses.items()
+        }
+        return {name: value for name, value in known.items() if value is not None}
+
     def runner_events(self) -> list[RunnerEventRecord]:
         """Return what all runners, past ones too, have received and done."""
         events = []
@@ -308,6 +322,7 @@
     def _start_instance(self, name: str, host: str, peer_port: int) -> None:
         front, ready, control = (_free_port(host) for _ in range(3))
         self.front_addresses[name] = (host, front)
+        self.control_addresses[name] = f"{host}:{control}"
         self.ready_addresses[name] = f"{host}:{ready}"
         settings = self._folder / f"{name}.toml"
         settings.write_text(
@@ -323,6 +338,7 @@
         )
         command = [sys.executable, "-m", "standins.instance_process"]
         command += [f"--config={settings}", f"--control={self._cut_file(name)}"]
+        command += [f"--losses={self._losses}"]
         log = self._folder / f"{name}.log"
         # Every second instance begins with the earlier build.
         starts = len(self.front_addresses) % 2
--- a/standins/instance_process.py
+++ b/standins/instance_process.py
@@ -1,5 +1,6 @@
 """One instance in a process of its own, whose connections to endpoints can be cut."""
 
+import contextlib
 import json
 import pathlib
 import threading
@@ -10,15 +11,17 @@
 from foxtailsaddle.cli._serve_platform import serve_platform
 
 from .cuts import CutKind, InstanceCut, intercepted_sockets, present_cut
+from .datagram_losses import lossy_datagrams
 
 POLL_S = 0.02
 
 
-def serve(config: str, control: str) -> None:
+def serve(config: str, control: str, losses: int = 0) -> None:
     """Run an instance.
 
     :param config: path of the settings file.
     :param control: path of a file that says which cut applies, see :func:`_follow`.
+    :param losses: seed of the losses of datagrams to others; 0 for none.
     """
     cut = InstanceCut()
     present_cut.set(cut)
@@ -26,7 +29,8 @@
         target=_follow, args=(cut, pathlib.Path(control)), daemon=True
     )
     follower.start()
-    with intercepted_sockets():
+    network = lossy_datagrams(losses) if losses else contextlib.nullcontext()
+    with intercepted_sockets(), network:
         serve_platform(config, "INFO")
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 
+from soak.agreement import Knowledge, disagreements
 from soak.callers import STREAM_EVENTS, RequestRecord
 from soak.disruptions import Cut, Disruptions, Evacuation
 from soak.endpoint_promises import broken_endpoint_promises
@@ -137,6 +138,19 @@
         assert violations(make_request(), make_books("1", "9"))
 
 
+class TestAgreement:
+    KNOWN = Knowledge(b"configuration", {"p0": b"ready"}, ())
+
+    def test_instances_that_know_the_same_agree(self):
+        assert disagreements({"i1": self.KNOWN, "i2": self.KNOWN}) == []
+        assert disagreements({}) == []
+
+    def test_an_entry_that_one_has_missed_is_found(self):
+        behind = dataclasses.replace(self.KNOWN, entries={"p0": b"draining"})
+        (violation,) = disagreements({"i1": self.KNOWN, "i2": behind})
+        assert "p0" in violation
+
+
 class TestEndpointChecks:
     """Each check of what endpoints ask for finds the violation it is meant for."""
 
