Soak: another program changes several entries in one transaction

Several rows of one version are what a lost datagram used to tear apart; the soak changed one row in each transaction.

--- a/standins/front_process.py
+++ b/standins/front_process.py
@@ -19,7 +19,8 @@
 class ControllableStore:
     """The store.
 
-    ``PUT`` ``/put``, ``/drop``, ``/knobs``, ``/forget`` or ``/restore`` changes it.
+    ``PUT`` ``/put``, ``/drop``, ``/change`` (several rows), ``/knobs``, ``/forget`` or
+    ``/restore`` changes it.
     """
 
     def __init__(self) -> None:
@@ -35,6 +36,12 @@
             self.rows.put(fields["table"], fields["key"], value)
         elif request.path == "/drop":
             self.rows.delete(fields["table"], fields["key"])
+        elif request.path == "/change":
+            changes = [
+                (fields["table"], key, None if text is None else text.encode())
+                for key, text in fields["text_by_key"].items()
+            ]
+            self.rows.change(changes)
         elif request.path == "/knobs":
             self.rows.knobs = dataclasses.replace(self.rows.knobs, **fields)
         elif request.path == "/forget":
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -72,6 +72,13 @@
         """Delete a row."""
         return self._apply([(table, key, None)])
 
+    def change(self, changes: list[tuple[str, str, bytes | None]]) -> int:
+        """Write or delete several rows in one transaction.
+
+        :param changes: table, key and value of each; ``None`` deletes it.
+        """
+        return self._apply(changes)
+
     def forget_history(self) -> None:
         """Discard all past changes; a feed that needs them is answered with 410."""
         self.oldest_version = self.version
--- a/tests/test_list_changes.py
+++ b/tests/test_list_changes.py
@@ -146,7 +146,7 @@
         ("servers", id, json.dumps(runner.entry(state="draining") | fields).encode())
         for id, runner in world.runners.items()
     ]
-    world.rows._apply(rows)
+    world.rows.change(rows)
 
 
 def uses_none(app: t.Any) -> bool:
