--- a/src/foxtailsaddle/forward/paths/_connector.py
+++ b/src/foxtailsaddle/forward/paths/_connector.py
@@ -9,23 +9,14 @@
 import random
 import typing as t
 
-import h11
 import trio
 
 from ...core import DataCentre
 from ...errors import NothingSentError
 from .._fleet import FleetState
 from ..peers import NO_INSTANCE, Peer, Peers
-from ..transport import RECEIVE_BYTES, Connection, RelayedSocket, connect, send_all
-from ._relay_server import (
-    INCARNATION_HEADER,
-    INSTANCE_HEADER,
-    OUTCOME_HEADER,
-    REFUSED,
-    STATUS_CONNECTED,
-    STATUS_FORBIDDEN,
-    STATUS_NOT_REACHED,
-)
+from ..transport import Connection, connect
+from ._relay_client import RelayClient, RelayFailedError
 
 logger = logging.getLogger("foxtailsaddle.paths")
 
@@ -42,17 +33,6 @@
 MAX_RETURNING_PROBES = 16  # at once while some endpoint is reached
 
 
-class _RelayFailedError(Exception):
-    """Another instance did not say whether it reaches an endpoint.
-
-    :param concerns_endpoint: it may still be asked for other endpoints.
-    """
-
-    def __init__(self, message: str, *, concerns_endpoint: bool = False) -> None:
-        super().__init__(message)
-        self.concerns_endpoint = concerns_endpoint
-
-
 @dataclasses.dataclass(slots=True)
 class _Race:
     """A direct connection and one through another instance, of which one is used.
@@ -83,6 +63,7 @@
         self._fleet = fleet
         self._peers = peers
         self._data_centre = data_centre
+        self._relay_client = RelayClient(fleet.instance, peers.incarnation)
         self.on_connected: t.Callable[[str, float], None] = lambda _, __: None
         self._doubt_arose = trio.Event()
         self._is_doubt_checked = False
@@ -248,8 +229,8 @@
         if timeout_s <= 0:
             return
         try:
-            connection = await self._ask(peer, address, timeout_s)
-        except _RelayFailedError as error:
+            connection = await self._relay_client.ask(peer, address, timeout_s)
+        except RelayFailedError as error:
             if not error.concerns_endpoint:
                 self._pause(peer, str(error))
             return
@@ -285,52 +266,6 @@
         ordered.sort(key=lambda peer: peer.id != self._last_relay)
         return ordered[:MAX_RELAYS]
 
-    async def _ask(self, peer: Peer, address: str, timeout_s: float) -> RelayedSocket:
-        """Ask an instance for a connection to an endpoint.
-
-        :raises NothingSentError: it doesn't reach the endpoint either.
-        :raises _RelayFailedError: it gave no answer, or doesn't relay at present.
-        """
-        with trio.move_on_after(timeout_s):
-            try:
-                sock = await connect(peer.control_address, timeout_s)
-            except NothingSentError as error:
-                raise _RelayFailedError(error.message) from error
-            try:
-                return await self._request(sock, peer, address)
-            except BaseException:
-                sock.close()
-                raise
-        raise _RelayFailedError(f'"{peer.id}" did not answer in {timeout_s:.2f} s')
-
-    async def _request(
-        self, sock: trio.socket.SocketType, peer: Peer, address: str
-    ) -> RelayedSocket:
-        http = h11.Connection(h11.CLIENT)
-        headers = [
-            (b"host", address.encode()),
-            (INSTANCE_HEADER, self._fleet.instance.encode()),
-            (INCARNATION_HEADER, b"%d" % self._peers.incarnation),
-        ]
-        request = h11.Request(method="CONNECT", target=address, headers=headers)
-        try:
-            await send_all(sock, http.send(request) + http.send(h11.EndOfMessage()))
-            response = await _receive_response(sock, http)
-        except (OSError, h11.RemoteProtocolError) as error:
-            raise _RelayFailedError(f'"{peer.id}" broke off: {error}') from error
-        if response.status_code == STATUS_CONNECTED:
-            return RelayedSocket(sock, bytes(http.trailing_data[0]), peer.id)
-        if response.status_code == STATUS_NOT_REACHED:
-            is_refused = dict(response.headers).get(OUTCOME_HEADER) == REFUSED
-            raise NothingSentError(
-                f'"{address}" is not reached by "{peer.id}" either',
-                connection_refused=is_refused,
-            )
-        raise _RelayFailedError(
-            f'"{peer.id}" responded with {response.status_code}',
-            concerns_endpoint=response.status_code == STATUS_FORBIDDEN,
-        )
-
     def _is_paused(self, peer: Peer, now: float) -> bool:
         return self._paused_until_by_process.get(peer.incarnation, 0.0) > now
 
@@ -419,16 +354,3 @@
             "paths: cut off" if is_cut_off else "paths: no longer cut off",
             extra={"relayed_endpoints": cut, "since_ms": since_ms},
         )
-
-
-async def _receive_response(
-    sock: trio.socket.SocketType, http: h11.Connection
-) -> h11.Response:
-    while True:
-        event: t.Any = http.next_event()
-        if event is h11.NEED_DATA:
-            http.receive_data(await sock.recv(RECEIVE_BYTES))
-        elif isinstance(event, h11.Response):
-            return event
-        else:
-            raise h11.RemoteProtocolError("no response")
--- a/src/foxtailsaddle/forward/store/_sync.py
+++ b/src/foxtailsaddle/forward/store/_sync.py
@@ -8,20 +8,19 @@
 import trio
 
 from ...core import (
-    EndpointId,
     StoreVersion,
     is_first_reader,
     retry_pause_s,
     should_read,
 )
 from ...ports import Store, StoredRow, StoredRows, StoreSchema
-from .._cold_starts import record_entry
 from .._evacuations import expire_evacuations, update_evacuations
 from .._fleet import FleetState
 from ..peers import ListChanged, Peer, Peers, Snapshot
 from ._configuration_sync import ConfigurationSync
 from ._list_changes import ListChangeCollector, changes_after
 from ._list_rows import ListRowReader
+from ._list_updater import ListUpdater
 from ._registration import InstanceRegistration
 from ._snapshots import fetch_snapshot
 from ._table_follower import TableFollower
@@ -76,6 +75,7 @@
         self._was_connected = False
         self._era: int | None = None
         self.list_rows = ListRowReader(schema)
+        self._list = ListUpdater(fleet, self.list_rows)
         self._list_changes = ListChangeCollector()
         self._list_behind_since: float | None = None
         self.missed_list_changes = 0
@@ -228,11 +228,12 @@
         """
         self._registration.record_clock(rows.now_ms)
         if is_full:
-            self._replace_list(rows.rows, rows.version)
+            is_restored = rows.version.era > self._peers.list_version.era
+            self._list.replace(rows.rows, rows.version, is_restored)
         is_sender = self._peers.reads_store and self._is_first_reader()
         sent_rows = []
         for row in () if is_full else rows.rows:
-            is_usable = self._apply_list_row(row)
+            is_usable = self._list.apply_row(row)
             sent_rows.append(row if is_usable else _without_value(row))
         if is_sender:
             for change in changes_after(self._peers.list_version, sent_rows):
@@ -260,73 +261,12 @@
         if not rows:
             return
         for row in rows:
-            self._apply_list_row(row)
+            self._list.apply_row(row)
         self._peers.list_version = change.row.version
         self.list_follower.version = max(self.list_follower.version, change.row.version)
         if not self._is_list_behind():
             self._list_behind_since = None
 
-    def _apply_list_row(self, row: StoredRow) -> bool:
-        """Apply a row; return whether it names an endpoint to use."""
-        now = trio.current_time()
-        endpoint = EndpointId(row.key)
-        entry = self.list_rows.read(row)
-        previous = self._fleet.endpoints.get(endpoint)
-        if entry is None:
-            self._fleet.endpoint_rows.pop(row.key, None)
-            self._fleet.endpoints.remove(endpoint, now)
-        else:
-            self._fleet.endpoint_rows[row.key] = row.value
-            self._fleet.endpoints.put(entry)
-            record_entry(self._fleet, entry, previous, now)
-        previous_state = previous.state if previous else None
-        if previous_state is not (entry.state if entry else None):
-            logger.info(
-                "list: changed",
-                extra={
-                    "endpoint": endpoint,
-                    "state": entry.state.value if entry else "gone",
-                    "version": row.version.number,
-                    "era": row.version.era,
-                },
-            )
-        self._forget_expired(now)
-        return entry is not None
-
-    def _replace_list(self, rows: list[StoredRow], version: StoreVersion) -> None:
-        """Replace the list by the rows of a full read.
-
-        :param version: version of the list as a whole.
-        """
-        is_restored = version.era > self._peers.list_version.era
-        entry_by_key = self.list_rows.read_all(rows, is_restored)
-        self._fleet.endpoint_rows = {
-            row.key: row.value for row in rows if row.key in entry_by_key
-        }
-        entries = list(entry_by_key.values())
-        now = trio.current_time()
-        known = {entry.id: entry for entry in self._fleet.endpoints.all()}
-        self._fleet.endpoints.replace(entries, now)
-        for entry in entries:
-            # The first list shows no starts: all endpoints are new in it.
-            previous = known.get(entry.id) if known else entry
-            record_entry(self._fleet, entry, previous, now)
-        self._forget_expired(now)
-        logger.info(
-            "list: read",
-            extra={
-                "endpoints": len(entries),
-                "version": version.number,
-                "era": version.era,
-            },
-        )
-
-    def _forget_expired(self, now: float) -> None:
-        for endpoint in self._fleet.endpoints.expire(now):
-            self.list_rows.retire(endpoint)
-            self._fleet.forget_endpoint(endpoint, now)
-            logger.info("list: gone", extra={"endpoint": endpoint})
-
     # Cleanup and snapshots.
 
     async def _run_cleanup(self) -> None:
@@ -334,7 +274,7 @@
         while True:
             await trio.sleep(CLEANUP_INTERVAL_S)
             now = trio.current_time()
-            self._forget_expired(now)
+            self._list.forget_expired(now)
             self._fleet.holds.forget_ended_pauses(now)
             expire_evacuations(self._fleet, now)
             self._fleet.cold_starts.is_isolated = (
@@ -406,7 +346,8 @@
             StoredRow(key, value, version)
             for key, value in snapshot.endpoint_rows.items()
         ]
-        self._replace_list(rows, version)
+        is_restored = version.era > self._peers.list_version.era
+        self._list.replace(rows, version, is_restored)
         self._peers.list_version = version
         self.list_follower.request_full_read()
 
