--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import json
 import os
@@ -320,7 +321,7 @@
         self._start_standin(name, "runner", *options)
 
     def _start_instance(self, name: str, host: str, peer_port: int) -> None:
-        front, ready, control = (_free_port(host) for _ in range(3))
+        front, ready, control = _free_ports(host, 3)
         self.front_addresses[name] = (host, front)
         self.control_addresses[name] = f"{host}:{control}"
         self.ready_addresses[name] = f"{host}:{ready}"
@@ -372,6 +373,17 @@
 
 
 def _free_port(host: str, kind: int = socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    (port,) = _free_ports(host, 1, kind)
+    return port
+
+
+def _free_ports(host: str, count: int, kind: int = socket.SOCK_STREAM) -> list[int]:
+    """Return as many different ports that nobody uses."""
+    with contextlib.ExitStack() as stack:
+        socks = [
+            stack.enter_context(socket.socket(socket.AF_INET, kind))
+            for _ in range(count)
+        ]
+        for sock in socks:
+            sock.bind((host, 0))
+        return [sock.getsockname()[1] for sock in socks]
