--- a/tests/test_lasting_crash_evidence.py
+++ b/tests/test_lasting_crash_evidence.py
@@ -28,6 +28,15 @@
         )
 
 
+async def leave_alone(world):
+    """End the second of two instances; return the first once it hears no other."""
+    app, other = world.apps
+    await eventually(lambda: app.peers.live())
+    world.kill(other)
+    await eventually(lambda: not app.peers.live(), NOT_HEARD_S)
+    return app
+
+
 class TestInstanceThatStarts:
     """It refuses what the others refuse from the first request on."""
 
@@ -77,10 +86,7 @@
     # its endpoints, since no other one confirms a crash (review/3, BUDGET).
     @in_world(engines=0, plain=3, instances=2)
     async def test_a_refused_connection_is_a_crash(self, world):
-        app, other = world.apps
-        await eventually(lambda: app.peers.live())
-        world.kill(other)
-        await eventually(lambda: not app.peers.live(), NOT_HEARD_S)
+        app = await leave_alone(world)
         world.runners["p0"].fault = Fault.DIE
         assert (await world.ask(app, TARGET)).status == 502
         await eventually(lambda: deaths(app) == 1)
@@ -88,10 +94,7 @@
     # Guards against: crashes that are seen in a cut of all paths to endpoints.
     @in_world(engines=0, plain=3, instances=2)
     async def test_it_is_none_while_no_endpoint_is_reached(self, world):
-        app, other = world.apps
-        await eventually(lambda: app.peers.live())
-        world.kill(other)
-        await eventually(lambda: not app.peers.live(), NOT_HEARD_S)
+        app = await leave_alone(world)
         for runner in world.runners.values():
             runner.work_s = 0.5
         async with trio.open_nursery() as nursery:
