--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -3,14 +3,19 @@
 import contextlib
 import functools
 import json
+import urllib.parse
 
 import pytest
 import trio
 
-from foxtailsaddle.adapters import HttpcoreClient, HttpModelEndpoints
+from foxtailsaddle.adapters import (
+    HttpcoreClient,
+    HttpModelEndpoints,
+    HttpPlainEndpoints,
+)
 from foxtailsaddle.core import AttemptId
 from foxtailsaddle.errors import ExchangeBrokenError, ResponseTooLargeError
-from foxtailsaddle.ports import GenerationRequest, HttpRequest
+from foxtailsaddle.ports import GenerationRequest, HttpRequest, PlainCall
 from standins.runner import Fault
 from tests.raw_server import HEAD, endless_server, raw_server
 
@@ -116,3 +121,25 @@
     # Guards against: the time that a slow reader took counted as the engine's.
     def test_do_not_include_one_that_a_slow_reader_delays(self):
         trio.run(read_slowly)
+
+
+class TestPathsOfCallers:
+    """A path reaches the gateway decoded, and may hold any character."""
+
+    # Guards against: an error of the HTTP library ends a call whose path isn't ASCII.
+    @pytest.mark.parametrize("path", ["sign/é", "sign/\u20ac", "sign/%"])
+    def test_is_encoded_again(self, path):
+        received = []
+
+        async def serve(connection):
+            received.append(await connection.receive_some(1000))
+            await connection.send_all(HEAD + b"content-length: 2\r\n\r\n{}")
+
+        async def call():
+            async with client_of(serve) as (client, url):
+                plain = PlainCall("POST", path, "text/plain", b"", ATTEMPT, False)
+                await HttpPlainEndpoints(client).call(url, plain, IDLE_TIMEOUT_S)
+
+        trio.run(call)
+        target = received[0].split(b" ")[1].decode("ascii")
+        assert urllib.parse.unquote(target) == f"/{path}"
