--- a/review/common2/fleet.py
+++ b/review/common2/fleet.py
@@ -16,6 +16,7 @@
 import tomllib
 import typing as t
 
+from .kept import KeptConnection
 from .store import Store
 from .wire import Reply, ask
 
@@ -239,8 +240,12 @@
         body: bytes = b"",
         headers: t.Mapping[str, str] | None = None,
         deadline_s: float = 10.0,
+        kept: KeptConnection | None = None,
     ) -> Sent:
-        """Send a request on a new connection and record what came."""
+        """Send a request and record what came.
+
+        :param kept: the connection to use; a new one for this request otherwise.
+        """
         self._next_id += 1
         id = f"{self._next_id:016x}"
         fields = {
@@ -254,11 +259,18 @@
         head += [f"{name}: {value}" for name, value in fields.items()]
         at = time.monotonic()
         host, port = self.instances[instance]["ip"], self._ports["front"]
-        reply = await ask(host, port, head, body, deadline_s)
+        if kept is None:
+            reply = await ask(host, port, head, body, deadline_s)
+        else:
+            reply = await kept.ask(head, body, deadline_s)
         sent = Sent(id, instance, kind, at, time.monotonic(), reply)
         self.sent.append(sent)
         return sent
 
+    def keep_connection(self, instance: str) -> KeptConnection:
+        """Return a connection of a client to an instance."""
+        return KeptConnection(self.instances[instance]["ip"], self._ports["front"])
+
     async def close(self) -> None:
         """End all processes that this script has started."""
         for task in list(self._tasks):
--- a/review/common2/runner.py
+++ b/review/common2/runner.py
@@ -11,11 +11,9 @@
 import sys
 import threading
 import time
-import typing as t
 
 from .wire import Request, read_request, response
 
-FIRST_EVENT_S = 0.05
 EVENT_GAP_S = 0.045
 PLAIN_WORK_S = 0.03
 CRASH_STATUS = 70
@@ -65,8 +63,6 @@
             headers = {**own, "X-Server-Seal": f"seal.{self.options.id}.{id}"}
             if self.options.streams:
                 await self._stream(request, writer, headers)
-            elif self.options.crashing and _mark(request) == "poison":
-                self._hang_and_crash(request)
             else:
                 await asyncio.sleep(PLAIN_WORK_S)
                 body = json.dumps({"by": self.options.id}).encode()
@@ -82,7 +78,12 @@
         headers: dict[str, str],
     ) -> None:
         """Stream the answer; a request that crashes the process ends it on the way."""
-        await asyncio.sleep(FIRST_EVENT_S)
+        allowed_s = int(request.headers["x-deadline-ms"]) / 1000
+        if self.options.first_event_s > allowed_s:
+            await asyncio.sleep(allowed_s)
+            writer.write(self._response(504, b"", headers))
+            return
+        await asyncio.sleep(self.options.first_event_s)
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in self._with_own(headers).items()]
         lines += ["Transfer-Encoding: chunked", "", ""]
@@ -101,19 +102,6 @@
                 os._exit(CRASH_STATUS)
         writer.write(b"0\r\n\r\n")
 
-    def _hang_and_crash(self, request: Request) -> t.NoReturn:
-        """Block the process, until its own time for the request is over at the latest.
-
-        A process that blocks does not see that a connection was closed.
-        """
-        allowed_s = int(request.headers["x-deadline-ms"]) / 1000
-        if allowed_s < self.options.crash_after_s:
-            time.sleep(allowed_s)
-            raise TimeoutError
-        time.sleep(self.options.crash_after_s)
-        report("crashed", request.headers["x-request-id"])
-        os._exit(CRASH_STATUS)
-
     def _response(self, status: int, body: bytes, headers: dict[str, str]) -> bytes:
         return response(status, body, self._with_own(headers))
 
@@ -173,6 +161,7 @@
     parser.add_argument("--host", required=True)
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--streams", action="store_true")
+    parser.add_argument("--first-event-s", type=float, default=0.05)
     parser.add_argument("--crashing", action="store_true")
     parser.add_argument("--crash-after-s", type=float, default=0.0)
     asyncio.run(_run(parser.parse_args()))
--- a/review/common2/wire.py
+++ b/review/common2/wire.py
@@ -86,7 +86,7 @@
             reader, writer = await asyncio.open_connection(host, port)
             lines = [*head, f"Content-Length: {len(body)}", "Connection: close", "", ""]
             writer.write("\r\n".join(lines).encode() + body)
-            await _read_response(reader, reply)
+            await read_response(reader, reply)
     except (TimeoutError, OSError, asyncio.IncompleteReadError):
         pass
     finally:
@@ -95,7 +95,8 @@
     return reply
 
 
-async def _read_response(reader: asyncio.StreamReader, reply: Reply) -> None:
+async def read_response(reader: asyncio.StreamReader, reply: Reply) -> None:
+    """Read the response to a request; raises if it ends early."""
     head = await read_head(reader)
     if head is None:
         return
