--- a/review/common2/fleet.py
+++ b/review/common2/fleet.py
@@ -69,7 +69,10 @@
 
 @dataclasses.dataclass
 class Sent:
-    """A request of a client, and what it got."""
+    """A request of a client, and what it got.
+
+    :ivar is_on_kept: its connection had had another request before.
+    """
 
     id: str
     instance: str
@@ -77,6 +80,7 @@
     at: float
     ended_at: float
     reply: Reply
+    is_on_kept: bool = False
 
     @property
     def is_served(self) -> bool:
@@ -259,11 +263,12 @@
         head += [f"{name}: {value}" for name, value in fields.items()]
         at = time.monotonic()
         host, port = self.instances[instance]["ip"], self._ports["front"]
+        is_on_kept = kept is not None and kept.is_open
         if kept is None:
             reply = await ask(host, port, head, body, deadline_s)
         else:
             reply = await kept.ask(head, body, deadline_s)
-        sent = Sent(id, instance, kind, at, time.monotonic(), reply)
+        sent = Sent(id, instance, kind, at, time.monotonic(), reply, is_on_kept)
         self.sent.append(sent)
         return sent
 
